Rename the crate to wharfhub and decode settings by one miniserde type

brassfall becomes wharfhub, its drill wharfhub-adapter. The settings decoder moves from src/wire.rs to src/settings.rs, on miniserde in place of serde_json, and gains what a real mixer needs (names, shards, mostHeld, streamsPerConn, connection times).

--- a/src/bin/brassfall-drill.rs
+++ b/src/bin/wharfhub-adapter.rs
@@ -1,16 +1,16 @@
-//! Runs the decision module on the drill's pipe: batches on standard input, replies on standard output.
+//! Runs the decision module on the simulator's pipe: batches on standard input, replies on standard output.
 
-use brassfall::wire::{encode, read_frame, write_reply, Decoder, Record, WireError};
-use brassfall::Aggregator;
 use std::collections::BTreeMap;
 use std::io::{BufReader, BufWriter};
 use std::process::ExitCode;
+use wharfhub::wire::{encode, read_frame, write_reply, Decoder, Record, WireError};
+use wharfhub::Aggregator;
 
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("brassfall-drill: {error}");
+            eprintln!("wharfhub-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //! no I/O, reads no clock and keeps no global state: the caller owns sockets, time and threads.
 //!
 //! ```
-//! use brassfall::api::*;
-//! use brassfall::Aggregator;
+//! use wharfhub::api::*;
+//! use wharfhub::Aggregator;
 //!
 //! let settings = Settings {
 //!     classes: vec![ClassSettings { aim_s: 0.5, deadline_s: 2.0, ..ClassSettings::default() }],
@@ -41,6 +41,7 @@
 
 pub mod api;
 mod logic;
+pub mod settings;
 pub mod wire;
 
 pub use logic::Aggregator;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -169,7 +169,7 @@
     in_share: f64, // likely share of its worth that its tenant's allowance leaves it
 }
 
-/// The decisions of one co-ordinator. See the crate's page for how to drive it.
+/// The decisions of one mixer. See the crate's page for how to drive it.
 pub struct Aggregator {
     cfg: Settings,
     rng: oorandom::Rand64,
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,271 @@
+//! The settings of a deployment: one decoder for the simulator's first message and for `LB_CONFIG`.
+//!
+//! This file owns the names and defaults of the settings on the wire. It must never be doubled: whoever
+//! needs a setting takes it from [`Deployment`], and a second type for the same keys is a fault.
+
+use crate::api::*;
+use miniserde::Deserialize;
+use thiserror::Error;
+
+/// Why settings could not be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The text is not UTF-8.
+    #[error("settings are not UTF-8: {0}")]
+    NotText(#[from] std::str::Utf8Error),
+    /// The text is not JSON of the right form.
+    #[error("settings: not JSON of the expected form (categories and the other keys)")]
+    NotJson,
+    /// A key that is needed is not there.
+    #[error("settings: {0} is missing")]
+    Missing(&'static str),
+    /// A value makes no sense.
+    #[error("settings: {0}")]
+    Senseless(String),
+}
+
+/// A deployment's settings: those of the decision module, and those that only a real mixer needs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Deployment {
+    /// What the decision module is given.
+    pub policy: Settings,
+    /// Names of the classes, in the module's order.
+    pub classes: Vec<String>,
+    /// Names of the tenants, in the module's order.
+    pub tenants: Vec<String>,
+    /// Names of the zones, in the module's order.
+    pub zones: Vec<String>,
+    /// Number of shards.
+    pub shards: u32,
+    /// Most queries and parts held at once.
+    pub most_held: usize,
+    /// Parts that one connection carries at a time.
+    pub streams_per_conn: usize,
+    /// A connection that has not come up within this time is given up (seconds).
+    pub connect_timeout_s: f64,
+    /// A connection that stood unused for so long is closed by the other side (seconds).
+    pub conn_idle_s: f64,
+}
+
+/// The settings as they stand in JSON. Unknown keys are skipped; optional ones may be missing.
+#[derive(Deserialize)]
+pub struct Setup {
+    categories: Option<Vec<CategoryJson>>,
+    tenants: Option<Vec<TenantJson>>,
+    zones: Option<Vec<String>>,
+    #[serde(rename = "overShareWorth")]
+    over_share_worth: Option<f64>,
+    #[serde(rename = "worthBy")]
+    worth_by: Option<String>,
+    #[serde(rename = "myZone")]
+    my_zone: Option<u8>,
+    #[serde(rename = "replicasOfMe")]
+    replicas_of_me: Option<u32>,
+    #[serde(rename = "roundS")]
+    round_s: Option<f64>,
+    discovery: Option<String>,
+    #[serde(rename = "familyInfo")]
+    family_info: Option<FamilyJson>,
+    permissions: Option<PermissionsJson>,
+    rules: Option<RulesJson>,
+}
+
+#[derive(Deserialize)]
+struct CategoryJson {
+    name: Option<String>,
+    #[serde(rename = "aimS")]
+    aim_s: f64,
+    #[serde(rename = "giveUpS")]
+    give_up_s: f64,
+    effect: Option<String>,
+    #[serde(rename = "lateWorth")]
+    late_worth: Option<f64>,
+    #[serde(rename = "windowS")]
+    window_s: Option<f64>,
+    worth: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct TenantJson {
+    name: Option<String>,
+    #[serde(rename = "allowancePerS")]
+    allowance_per_s: Option<f64>,
+    share: Option<f64>,
+}
+
+#[derive(Default, Deserialize)]
+struct FamilyJson {
+    cells: Option<u32>,
+    slabs: Option<u32>,
+    #[serde(rename = "inARow")]
+    in_a_row: Option<u32>,
+    #[serde(rename = "perCall")]
+    per_call: Option<u32>,
+    #[serde(rename = "perCallWorkS")]
+    per_call_work_s: Option<f64>,
+    #[serde(rename = "classPartial")]
+    class_partial: Option<Vec<f64>>,
+    #[serde(rename = "completeFrom")]
+    complete_from: Option<Vec<f64>>,
+    #[serde(rename = "floorByClass")]
+    floor_by_class: Option<Vec<f64>>,
+    #[serde(rename = "followUp")]
+    follow_up: Option<Vec<u32>>,
+}
+
+#[derive(Default, Deserialize)]
+struct PermissionsJson {
+    cancelling: Option<bool>,
+    #[serde(rename = "connIdleS")]
+    conn_idle_s: Option<f64>,
+    #[serde(rename = "connectTimeoutS")]
+    connect_timeout_s: Option<f64>,
+    #[serde(rename = "maxRetryAfterS")]
+    max_retry_after_s: Option<f64>,
+    #[serde(rename = "mostHeld")]
+    most_held: Option<u32>,
+    probes: Option<bool>,
+    #[serde(rename = "retryAfter")]
+    retry_after: Option<bool>,
+    #[serde(rename = "secondCopies")]
+    second_copies: Option<bool>,
+    #[serde(rename = "sendCap")]
+    send_cap: Option<u32>,
+    #[serde(rename = "streamsPerConn")]
+    streams_per_conn: Option<u32>,
+}
+
+#[derive(Default, Deserialize)]
+struct RulesJson {
+    #[serde(rename = "askWithinS")]
+    ask_within_s: Option<f64>,
+    #[serde(rename = "coldFrom")]
+    cold_from: Option<f64>,
+    #[serde(rename = "coldS")]
+    cold_s: Option<f64>,
+    #[serde(rename = "drainGraceS")]
+    drain_grace_s: Option<f64>,
+    #[serde(rename = "fallMultiple")]
+    fall_multiple: Option<f64>,
+    #[serde(rename = "overloadForS")]
+    overload_for_s: Option<f64>,
+    #[serde(rename = "extraFloor")]
+    extra_floor: Option<f64>,
+    #[serde(rename = "furtherRatio")]
+    further_ratio: Option<f64>,
+    #[serde(rename = "ratioSpanS")]
+    ratio_span_s: Option<f64>,
+}
+
+/// Decodes settings from their JSON text.
+pub fn decode(text: &[u8]) -> Result<Deployment, SettingsError> {
+    let text = std::str::from_utf8(text)?;
+    miniserde::json::from_str::<Setup>(text).map_err(|_| SettingsError::NotJson)?.deployment()
+}
+
+impl Setup {
+    /// What these settings mean.
+    pub fn deployment(self) -> Result<Deployment, SettingsError> {
+        let base = Settings::default();
+        let categories = self.categories.ok_or(SettingsError::Missing("categories"))?;
+        if categories.is_empty() {
+            return Err(SettingsError::Senseless("no class of query".into()));
+        }
+        let family = self.family_info.unwrap_or_default();
+        let allow = self.permissions.unwrap_or_default();
+        let rules = self.rules.unwrap_or_default();
+        let tenants = self.tenants.unwrap_or_default();
+        let classes: Result<_, _> =
+            categories.iter().enumerate().map(|(place, class)| class.policy(&family, place)).collect();
+        let budget = match (rules.extra_floor, rules.further_ratio) {
+            (None, None) => None,
+            (free, share) => Some(Budget {
+                free: free.unwrap_or(0.0),
+                share: share.unwrap_or(0.0),
+                span_s: rules.ratio_span_s.ok_or(SettingsError::Missing("ratioSpanS beside a ration"))?,
+            }),
+        };
+        let retry_after = allow.retry_after.unwrap_or(false);
+        let policy = Settings {
+            classes: classes?,
+            tenants: tenants.iter().map(TenantJson::policy).collect(),
+            over_share_worth: self.over_share_worth.unwrap_or(base.over_share_worth),
+            worth_by_work: self.worth_by.as_deref() == Some("work"),
+            zone: self.my_zone.unwrap_or(base.zone),
+            aggregators: self.replicas_of_me.unwrap_or(base.aggregators).max(1),
+            cells: family.cells.unwrap_or(base.cells).max(1),
+            reach: family.in_a_row.unwrap_or(base.reach).max(1),
+            call_parts: family.per_call.unwrap_or(base.call_parts).max(1),
+            call_work_s: family.per_call_work_s.unwrap_or(base.call_work_s),
+            tick_s: self.round_s.unwrap_or(base.tick_s),
+            must_ask: self.discovery.as_deref() == Some("subscribe"),
+            ask_within_s: rules.ask_within_s.unwrap_or(base.ask_within_s),
+            cancel: allow.cancelling.unwrap_or(false),
+            probes: allow.probes.unwrap_or(false),
+            second_copies: allow.second_copies.unwrap_or(false),
+            retry_after_s: if retry_after { allow.max_retry_after_s.unwrap_or(0.0) } else { 0.0 },
+            max_attempts: allow.send_cap.unwrap_or(base.max_attempts),
+            budget,
+            drain_grace_s: rules.drain_grace_s.unwrap_or(base.drain_grace_s),
+            cold_from: rules.cold_from.unwrap_or(base.cold_from),
+            cold_s: rules.cold_s.unwrap_or(base.cold_s),
+            fall_multiple: rules.fall_multiple.unwrap_or(base.fall_multiple),
+            fall_s: rules.overload_for_s.unwrap_or(base.fall_s),
+        };
+        Ok(Deployment {
+            classes: categories.into_iter().map(|class| class.name.unwrap_or_default()).collect(),
+            tenants: tenants.into_iter().map(|tenant| tenant.name.unwrap_or_default()).collect(),
+            zones: self.zones.unwrap_or_default(),
+            shards: family.slabs.unwrap_or(u32::MAX),
+            most_held: allow.most_held.unwrap_or(1000) as usize,
+            streams_per_conn: allow.streams_per_conn.unwrap_or(32).max(1) as usize,
+            connect_timeout_s: allow.connect_timeout_s.filter(|time| *time > 0.0).unwrap_or(0.25),
+            conn_idle_s: allow.conn_idle_s.filter(|time| *time > 0.0).unwrap_or(15.0),
+            policy,
+        })
+    }
+}
+
+impl TenantJson {
+    fn policy(&self) -> TenantSettings {
+        TenantSettings {
+            share: self.share.unwrap_or(1.0),
+            allowance_per_s: self.allowance_per_s.unwrap_or(f64::MAX),
+        }
+    }
+}
+
+impl CategoryJson {
+    fn policy(&self, family: &FamilyJson, place: usize) -> Result<ClassSettings, SettingsError> {
+        let base = ClassSettings::default();
+        let timed = |time: f64| time.is_finite() && time > 0.0;
+        if !timed(self.aim_s) || !timed(self.give_up_s) {
+            return Err(SettingsError::Senseless(format!("class {place} has no time to be answered in")));
+        }
+        let effect = match self.effect.as_deref() {
+            None | Some("retryable") => Effect::Safe,
+            Some("dedup") => Effect::Keyed,
+            Some("fragile") => Effect::Unsafe,
+            Some(other) => {
+                let what = format!("class {place} has an unknown effect {other:?}");
+                return Err(SettingsError::Senseless(what));
+            }
+        };
+        let of = |list: &Option<Vec<f64>>, base: f64| {
+            list.as_ref().and_then(|l| l.get(place)).copied().unwrap_or(base)
+        };
+        let follow_up = family.follow_up.as_ref().and_then(|list| list.get(place)).copied();
+        Ok(ClassSettings {
+            aim_s: self.aim_s,
+            deadline_s: self.give_up_s,
+            worth: self.worth.unwrap_or(base.worth),
+            late_worth: self.late_worth.unwrap_or(base.late_worth),
+            effect,
+            keyed_span_s: self.window_s.unwrap_or(base.keyed_span_s),
+            need: of(&family.complete_from, base.need),
+            floor: of(&family.floor_by_class, base.floor),
+            partial_worth: of(&family.class_partial, base.partial_worth),
+            second_step: follow_up.unwrap_or(base.second_step),
+        })
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,9 +1,11 @@
-//! Frames and settings of the drill's pipe, to and from the types of [`crate::api`].
+//! Frames of the simulator's pipe, to and from the types of [`crate::api`].
 //!
-//! Frames are little-endian and unpadded. Nothing is allocated from a count before the bytes are there.
+//! This file owns the byte layout of batches and replies, and no setting: those are decoded by
+//! [`crate::settings`]. Frames are little-endian and unpadded. It must never allocate from a count before
+//! the bytes are there, nor panic on what it is sent.
 
 use crate::api::*;
-use serde::Deserialize;
+use crate::settings;
 use std::io::{self, Read, Write};
 use std::sync::Arc;
 use thiserror::Error;
@@ -242,8 +244,8 @@
                 let seed = cursor.u64()?;
                 let length = cursor.u32()? as usize;
                 let text = cursor.take(length)?;
-                let settings = settings(text).map_err(|what| cursor.bad(what))?;
-                return Ok(Record::Init { instance, seed, settings: Box::new(settings) });
+                let decoded = settings::decode(text).map_err(|error| cursor.bad(error.to_string()))?;
+                return Ok(Record::Init { instance, seed, settings: Box::new(decoded.policy) });
             }
             10 => return Ok(Record::Crash { instance }),
             2 => self.endpoints(cursor)?,
@@ -442,157 +444,3 @@
     out.extend(length.to_le_bytes());
     out.extend(&text.as_bytes()[..usize::from(length)]);
 }
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct SetupJson {
-    categories: Vec<CategoryJson>,
-    #[serde(default)]
-    tenants: Vec<TenantJson>,
-    over_share_worth: Option<f64>,
-    worth_by: Option<String>,
-    my_zone: Option<u8>,
-    replicas_of_me: Option<u32>,
-    round_s: Option<f64>,
-    discovery: Option<String>,
-    #[serde(default)]
-    family_info: FamilyJson,
-    #[serde(default)]
-    permissions: PermissionsJson,
-    #[serde(default)]
-    rules: RulesJson,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct CategoryJson {
-    aim_s: f64,
-    give_up_s: f64,
-    effect: Option<String>,
-    late_worth: Option<f64>,
-    window_s: Option<f64>,
-    worth: Option<f64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct TenantJson {
-    allowance_per_s: Option<f64>,
-    share: Option<f64>,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct FamilyJson {
-    cells: Option<u32>,
-    in_a_row: Option<u32>,
-    per_call: Option<u32>,
-    per_call_work_s: Option<f64>,
-    class_partial: Vec<f64>,
-    complete_from: Vec<f64>,
-    floor_by_class: Vec<f64>,
-    follow_up: Vec<u32>,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct PermissionsJson {
-    cancelling: bool,
-    max_retry_after_s: Option<f64>,
-    probes: bool,
-    retry_after: bool,
-    second_copies: bool,
-    send_cap: Option<u32>,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct RulesJson {
-    ask_within_s: Option<f64>,
-    cold_from: Option<f64>,
-    cold_s: Option<f64>,
-    drain_grace_s: Option<f64>,
-    fall_multiple: Option<f64>,
-    overload_for_s: Option<f64>,
-    extra_floor: Option<f64>,
-    further_ratio: Option<f64>,
-    ratio_span_s: Option<f64>,
-}
-
-/// Reads settings from their JSON text. Unknown keys are skipped; optional ones may be missing.
-pub fn settings(text: &[u8]) -> Result<Settings, String> {
-    let text = std::str::from_utf8(text).map_err(|error| format!("settings are not UTF-8: {error}"))?;
-    let json: SetupJson = serde_json::from_str(text).map_err(|error| format!("settings: {error}"))?;
-    let base = Settings::default();
-    let classes =
-        json.categories.iter().enumerate().map(|(place, class)| class_settings(&json, place, class));
-    let tenants = json.tenants.iter().map(|tenant| TenantSettings {
-        share: tenant.share.unwrap_or(1.0),
-        allowance_per_s: tenant.allowance_per_s.unwrap_or(f64::MAX),
-    });
-    let (rules, allow) = (&json.rules, &json.permissions);
-    let budget = match (rules.extra_floor, rules.further_ratio) {
-        (None, None) => None,
-        (free, share) => Some(Budget {
-            free: free.unwrap_or(0.0),
-            share: share.unwrap_or(0.0),
-            span_s: rules.ratio_span_s.ok_or("settings: a ration of attempts without ratioSpanS")?,
-        }),
-    };
-    let settings = Settings {
-        classes: classes.collect::<Result<_, _>>()?,
-        tenants: tenants.collect(),
-        over_share_worth: json.over_share_worth.unwrap_or(base.over_share_worth),
-        worth_by_work: json.worth_by.as_deref() == Some("work"),
-        zone: json.my_zone.unwrap_or(base.zone),
-        aggregators: json.replicas_of_me.unwrap_or(base.aggregators).max(1),
-        cells: json.family_info.cells.unwrap_or(base.cells).max(1),
-        reach: json.family_info.in_a_row.unwrap_or(base.reach).max(1),
-        call_parts: json.family_info.per_call.unwrap_or(base.call_parts).max(1),
-        call_work_s: json.family_info.per_call_work_s.unwrap_or(base.call_work_s),
-        tick_s: json.round_s.unwrap_or(base.tick_s),
-        must_ask: json.discovery.as_deref() == Some("subscribe"),
-        ask_within_s: rules.ask_within_s.unwrap_or(base.ask_within_s),
-        cancel: allow.cancelling,
-        probes: allow.probes,
-        second_copies: allow.second_copies,
-        retry_after_s: if allow.retry_after { allow.max_retry_after_s.unwrap_or(0.0) } else { 0.0 },
-        max_attempts: allow.send_cap.unwrap_or(base.max_attempts),
-        budget,
-        drain_grace_s: rules.drain_grace_s.unwrap_or(base.drain_grace_s),
-        cold_from: rules.cold_from.unwrap_or(base.cold_from),
-        cold_s: rules.cold_s.unwrap_or(base.cold_s),
-        fall_multiple: rules.fall_multiple.unwrap_or(base.fall_multiple),
-        fall_s: rules.overload_for_s.unwrap_or(base.fall_s),
-    };
-    if settings.classes.is_empty() {
-        return Err("settings: no class of query".into());
-    }
-    Ok(settings)
-}
-
-fn class_settings(json: &SetupJson, place: usize, class: &CategoryJson) -> Result<ClassSettings, String> {
-    let base = ClassSettings::default();
-    let family = &json.family_info;
-    if class.aim_s <= 0.0 || class.give_up_s <= 0.0 {
-        return Err(format!("settings: class {place} has no time to be answered in"));
-    }
-    let effect = match class.effect.as_deref() {
-        None | Some("retryable") => Effect::Safe,
-        Some("dedup") => Effect::Keyed,
-        Some("fragile") => Effect::Unsafe,
-        Some(other) => return Err(format!("settings: class {place} has an unknown effect {other:?}")),
-    };
-    Ok(ClassSettings {
-        aim_s: class.aim_s,
-        deadline_s: class.give_up_s,
-        worth: class.worth.unwrap_or(base.worth),
-        late_worth: class.late_worth.unwrap_or(base.late_worth),
-        effect,
-        keyed_span_s: class.window_s.unwrap_or(base.keyed_span_s),
-        need: family.complete_from.get(place).copied().unwrap_or(base.need),
-        floor: family.floor_by_class.get(place).copied().unwrap_or(base.floor),
-        partial_worth: family.class_partial.get(place).copied().unwrap_or(base.partial_worth),
-        second_step: family.follow_up.get(place).copied().unwrap_or(base.second_step),
-    })
-}
--- a/tests/drill.rs
+++ b/tests/adapter.rs
@@ -7,13 +7,13 @@
     "familyInfo": {"cells": 1, "inARow": 1}, "permissions": {"cancelling": true}, "newKey": {}}"#;
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_brassfall-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_wharfhub-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    // The drill may stop reading at a fault; that is no error of the test.
+    // The adapter may stop reading at a fault; that is no error of the test.
     let _ = child.stdin.take().unwrap().write_all(input);
     child.wait_with_output().unwrap()
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small driver: feeds events to an aggregator and collects what it does.
 #![allow(dead_code)]
 
-use brassfall::api::*;
-use brassfall::Aggregator;
+use wharfhub::api::*;
+use wharfhub::Aggregator;
 
 pub struct Driver {
     pub aggregator: Aggregator,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use brassfall::api::*;
 use common::*;
+use wharfhub::api::*;
 
 const OK: Outcome = Outcome::Ok;
 
@@ -443,7 +443,7 @@
                 let entries: Vec<_> =
                     (1..21).map(|id| ReplicaEntry { cell: id - 1, ..replica(id) }).collect();
                 let mut driver = Driver::new(many.clone(), &entries);
-                driver.aggregator = brassfall::Aggregator::new(many.clone(), seed, 100.0);
+                driver.aggregator = wharfhub::Aggregator::new(many.clone(), seed, 100.0);
                 driver.list(true, &entries);
                 driver
             })
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,11 +3,11 @@
 
 mod common;
 
-use brassfall::api::*;
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
+use wharfhub::api::*;
 
 /// What the referee knows of a part.
 #[derive(Default, Clone)]
