--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,584 @@
+//! Requests, attempts and outcomes: the caller of the decision module.
+//!
+//! This file owns every request that the mixer holds, from its taking to its one final answer, and every
+//! attempt, from its sending to its one outcome. It feeds the module events, carries its actions out as
+//! [`Command`]s for whoever owns the sockets, and guards what must hold whatever the module says: one final
+//! answer for each request, in its client's time, refused only where nothing harmful ran, never below its
+//! class's floor; `mostHeld`; attempt numbers. It must never know a wire, a socket or JSON, never read a
+//! clock (time is passed in) and never decide where a part goes.
+
+use crate::api::*;
+use crate::settings::Deployment;
+use crate::Aggregator;
+use slotmap::SlotMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// What sending an answer takes: a request's time is up so much before its client's (seconds).
+const SENDING_S: f64 = 0.005;
+/// Rounding that sums of weights may show.
+const SUM_SLACK: f64 = 0.0001;
+
+slotmap::new_key_type! {
+    /// A request in the table of those held.
+    pub struct RequestKey;
+    /// An attempt in the table of those out.
+    pub struct AttemptKey;
+}
+
+/// The style in which a request was asked; figures are kept for each.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Style {
+    /// The platform's protocol.
+    #[default]
+    Platform,
+    /// The search API.
+    Search,
+}
+
+/// What a client asked, whichever front took it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Asked {
+    /// The client's name for it, new with each request.
+    pub id: String,
+    /// How it was asked.
+    pub style: Style,
+    /// Its class, by place in the settings.
+    pub class: usize,
+    /// Its tenant, by place in the settings.
+    pub tenant: u32,
+    /// What it concerns; 0 for nothing in particular.
+    pub key: u64,
+    /// Whether the client marked it as a repeat.
+    pub repeat: bool,
+    /// How long the client still waits (seconds).
+    pub wait_s: f64,
+    /// Under which a repeat is recognised, in a keyed class.
+    pub idempotency: Option<String>,
+    /// What every part carries.
+    pub text: String,
+    /// Whether the client takes no answer that is not whole.
+    pub whole_only: bool,
+    /// The parts.
+    pub parts: Vec<AskedPart>,
+}
+
+/// A part of what a client asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AskedPart {
+    /// The shard it reads.
+    pub shard: u32,
+    /// Its share of the whole answer.
+    pub weight: f64,
+    /// A guess at its work (seconds).
+    pub hint_s: Option<f64>,
+}
+
+/// Why a request ended without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// The module's price or its guards; nothing harmful ran.
+    Overload,
+    /// The mixer holds as much as it may.
+    Held,
+    /// Given up by the module; parts may have run.
+    GivenUp,
+    /// Its time ran out.
+    TimeUp,
+    /// Only part of the answer is there, and the client takes none but a whole one.
+    NotWhole,
+}
+
+/// The one final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Final {
+    /// Served.
+    Answered {
+        /// Whether the answer may be called whole.
+        whole: bool,
+        /// The value of each part, in the order asked; none where it is not in.
+        values: Vec<Option<Rc<str>>>,
+    },
+    /// Turned away: asking again does no harm.
+    Refused {
+        /// Why.
+        why: Why,
+        /// When to come back (seconds); 0 for no advice.
+        retry_after_s: f64,
+    },
+    /// Given up; parts of it may have run.
+    Failed {
+        /// Why.
+        why: Why,
+        /// Each part's last outcome, in the order asked; none where nothing was sent or came back.
+        outcomes: Vec<Option<Outcome>>,
+    },
+}
+
+/// A part of a call.
+#[derive(Clone, Debug)]
+pub struct CallPart {
+    /// The attempt that this is.
+    pub attempt: AttemptKey,
+    /// The request.
+    pub asked: Rc<Asked>,
+    /// Which part, by place.
+    pub place: usize,
+    /// How long the mixer will wait for it (seconds).
+    pub wait_s: f64,
+}
+
+/// What the core wants done, in this order.
+#[derive(Debug)]
+pub enum Command {
+    /// Send these parts to a replica in one call.
+    Call {
+        /// Where.
+        replica: ReplicaId,
+        /// What.
+        parts: Vec<CallPart>,
+    },
+    /// Nobody waits for this attempt any more; its outcome has been taken.
+    GiveUp {
+        /// Which.
+        attempt: AttemptKey,
+    },
+    /// Give the caller the final answer.
+    Reply {
+        /// As handed to [`Core::take`].
+        caller: u64,
+        /// The answer.
+        last: Final,
+        /// What was asked.
+        asked: Rc<Asked>,
+        /// How long it was held (seconds).
+        took_s: f64,
+    },
+    /// Call [`Core::wake`] with this at that time.
+    WakeAt {
+        /// When.
+        at: f64,
+        /// With what.
+        wake: Wake,
+    },
+    /// Ask for changes of the list of replicas.
+    Watch,
+    /// Close the unused connections to a replica.
+    CloseIdle {
+        /// Which.
+        replica: ReplicaId,
+    },
+    /// Write a line to the log.
+    Log(String),
+}
+
+/// What a deadline is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Wake {
+    /// A timer of the module.
+    Module(u64),
+    /// The end of a request's time.
+    Request(RequestKey),
+    /// The end of the wait for an attempt.
+    Attempt(AttemptKey),
+}
+
+/// How requests of one style fared.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Taken.
+    pub asked: u64,
+    /// Answered whole.
+    pub whole: u64,
+    /// Answered in part.
+    pub partial: u64,
+    /// Of those answered, within the class's aim.
+    pub in_aim: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Left by their clients.
+    pub left: u64,
+    /// Parts sent, every attempt counted.
+    pub attempts: u64,
+}
+
+struct Request {
+    asked: Rc<Asked>,
+    caller: u64,
+    query: QueryId,
+    parts: Vec<PartId>,
+    values: Vec<Option<Rc<str>>>,
+    outcomes: Vec<Option<Outcome>>,
+    may_have_run: bool, // whether an ended attempt of any part is not proved never to have run
+    taken_at: f64,
+}
+
+struct PartState {
+    request: Option<RequestKey>, // none once it has its final answer
+    place: usize,
+    attempts: Vec<Option<AttemptKey>>, // by number; none once ended
+}
+
+struct Attempt {
+    part: PartId,
+    number: u8,
+    replica: ReplicaId,
+    sent_at: f64,
+}
+
+/// The requests of one mixer, around its decision module.
+pub struct Core {
+    module: Aggregator,
+    deployment: Rc<Deployment>,
+    requests: SlotMap<RequestKey, Request>,
+    attempts: SlotMap<AttemptKey, Attempt>,
+    queries: BTreeMap<QueryId, RequestKey>,
+    parts: BTreeMap<PartId, PartState>,
+    held: usize, // queries and parts
+    last_id: u32,
+    last_number: u32,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    calls: Vec<(ReplicaId, Vec<CallPart>)>,
+    figures: [Figures; 2],
+}
+
+impl Core {
+    /// A core that holds nothing and has heard nothing.
+    pub fn new(deployment: Rc<Deployment>, seed: u64, now: f64) -> Core {
+        let mut policy = deployment.policy.clone();
+        // Neither front knows a second step: the first answer is the last.
+        policy.classes.iter_mut().for_each(|class| class.second_step = 0);
+        Core {
+            module: Aggregator::new(policy, seed, now),
+            deployment,
+            requests: SlotMap::with_key(),
+            attempts: SlotMap::with_key(),
+            queries: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            held: 0,
+            last_id: 0,
+            last_number: 0,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            calls: Vec::new(),
+            figures: [Figures::default(); 2],
+        }
+    }
+
+    /// How requests of a style fared so far.
+    pub fn figures(&self, style: Style) -> Figures {
+        self.figures[style as usize]
+    }
+
+    /// Requests that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether an attempt has no outcome yet.
+    pub fn is_out(&self, key: AttemptKey) -> bool {
+        self.attempts.contains_key(key)
+    }
+
+    /// The list of replicas, or the lines of it that changed.
+    pub fn list(&mut self, now: f64, full: bool, entries: Vec<ReplicaEntry>, out: &mut Vec<Command>) {
+        self.feed(now, Event::List { full, entries: entries.into() }, out);
+    }
+
+    /// Asking for the list failed, or the watch broke.
+    pub fn list_failed(&mut self, now: f64, out: &mut Vec<Command>) {
+        self.feed(now, Event::ListFailed, out);
+    }
+
+    /// Takes a request. It gets exactly one [`Command::Reply`], unless its caller leaves.
+    pub fn take(&mut self, now: f64, asked: Asked, caller: u64, out: &mut Vec<Command>) -> RequestKey {
+        let asked = Rc::new(asked);
+        let count = asked.parts.len();
+        self.figures[asked.style as usize].asked += 1;
+        let full = self.held >= self.deployment.most_held;
+        self.held += 1 + count;
+        let query = QueryId(self.next_id());
+        let parts: Vec<PartId> = (0..count).map(|_| PartId(self.next_id())).collect();
+        let request = Request {
+            asked: asked.clone(),
+            caller,
+            query,
+            parts: parts.clone(),
+            values: vec![None; count],
+            outcomes: vec![None; count],
+            may_have_run: false,
+            taken_at: now,
+        };
+        let key = self.requests.insert(request);
+        if full {
+            // Guards the limit on what is held: the module never hears of what goes beyond it.
+            let retry_after_s = self.deployment.policy.retry_after_s / 2.0;
+            self.finish(now, key, Final::Refused { why: Why::Held, retry_after_s }, out);
+            return key;
+        }
+        let deadline = now + asked.wait_s - SENDING_S;
+        out.push(Command::WakeAt { at: deadline.max(now), wake: Wake::Request(key) });
+        self.queries.insert(query, key);
+        self.last_number = self.last_number.wrapping_add(1);
+        let number = self.last_number;
+        self.events.push_back(Event::Query(NewQuery {
+            id: query,
+            number,
+            class: asked.class as u16,
+            tenant: asked.tenant,
+            deadline,
+            parts: count as u32,
+            repeat: asked.repeat,
+            key: asked.key,
+        }));
+        for (place, (id, part)) in parts.into_iter().zip(&asked.parts).enumerate() {
+            self.parts.insert(id, PartState { request: Some(key), place, attempts: Vec::new() });
+            let (shard, weight, cost_hint_s) = (part.shard, part.weight, part.hint_s);
+            self.events.push_back(Event::Part(NewPart {
+                id,
+                query_number: number,
+                shard,
+                weight,
+                cost_hint_s,
+            }));
+        }
+        self.pump(now, out);
+        key
+    }
+
+    /// The caller of a request has gone away; it wants no answer.
+    pub fn leave(&mut self, now: f64, key: RequestKey, out: &mut Vec<Command>) {
+        if let Some(request) = self.forget(key) {
+            self.figures[request.asked.style as usize].left += 1;
+            self.feed(now, Event::ClientLeft(request.query), out);
+        }
+    }
+
+    /// An attempt ended. `value` is what the replica gave for the part, where it served it.
+    pub fn ended(
+        &mut self,
+        now: f64,
+        key: AttemptKey,
+        outcome: Outcome,
+        value: Option<Rc<str>>,
+        out: &mut Vec<Command>,
+    ) {
+        self.end_attempt(now, key, outcome, value);
+        self.pump(now, out);
+    }
+
+    /// A time asked for by [`Command::WakeAt`] has come. What it was for may long be over.
+    pub fn wake(&mut self, now: f64, wake: Wake, out: &mut Vec<Command>) {
+        match wake {
+            Wake::Module(token) => self.feed(now, Event::Timer(token), out),
+            Wake::Attempt(key) => {
+                if self.attempts.contains_key(key) {
+                    out.push(Command::GiveUp { attempt: key });
+                    self.ended(now, key, Outcome::TimedOut, None, out);
+                }
+            }
+            Wake::Request(key) => {
+                // Guards the client's time: the module gives up earlier, unless it was held up.
+                if let Some(request) = self.requests.get(key) {
+                    let (query, outcomes) = (request.query, request.outcomes.clone());
+                    self.finish(now, key, Final::Failed { why: Why::TimeUp, outcomes }, out);
+                    self.feed(now, Event::ClientLeft(query), out);
+                }
+            }
+        }
+    }
+
+    fn next_id(&mut self) -> u32 {
+        self.last_id = self.last_id.wrapping_add(1);
+        self.last_id
+    }
+
+    fn feed(&mut self, now: f64, event: Event, out: &mut Vec<Command>) {
+        self.events.push_back(event);
+        self.pump(now, out);
+    }
+
+    /// Feeds the module all that is waiting, and what its own actions bring about; then hands over the calls.
+    fn pump(&mut self, now: f64, out: &mut Vec<Command>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.module.handle(now, event, &mut actions);
+            actions.drain(..).for_each(|action| self.act(now, action, out));
+            self.actions = actions;
+        }
+        let most = self.deployment.policy.call_parts.max(1) as usize;
+        for (replica, mut parts) in std::mem::take(&mut self.calls) {
+            while !parts.is_empty() {
+                let rest = parts.split_off(parts.len().min(most));
+                out.push(Command::Call { replica, parts });
+                parts = rest;
+            }
+        }
+    }
+
+    fn act(&mut self, now: f64, action: Action, out: &mut Vec<Command>) {
+        match action {
+            Action::Send { part, replica, max_wait_s } => self.send(now, part, replica, max_wait_s, out),
+            Action::Cancel { part, attempt } => {
+                let attempts = self.parts.get(&part).map(|part| &part.attempts);
+                let Some(Some(key)) = attempts.and_then(|list| list.get(usize::from(attempt))).copied()
+                else {
+                    return;
+                };
+                // What was to be sent in this very round has not left yet, and now never does.
+                let waiting = self.calls.iter_mut().any(|(_, parts)| {
+                    let before = parts.len();
+                    parts.retain(|part| part.attempt != key);
+                    parts.len() < before
+                });
+                if !waiting {
+                    out.push(Command::GiveUp { attempt: key });
+                }
+                self.end_attempt(now, key, Outcome::Cancelled, None);
+            }
+            Action::Answer { query, whole } => {
+                if let Some(key) = self.queries.get(&query).copied() {
+                    self.answer(now, key, whole, out);
+                }
+            }
+            Action::Refuse { query, retry_after_s } => {
+                if let Some(key) = self.queries.get(&query).copied() {
+                    self.refuse(now, key, retry_after_s, out);
+                }
+            }
+            Action::Fail { query } => {
+                if let Some(key) = self.queries.get(&query).copied() {
+                    let outcomes = self.requests[key].outcomes.clone();
+                    self.finish(now, key, Final::Failed { why: Why::GivenUp, outcomes }, out);
+                }
+            }
+            Action::SetTimer { token, after_s } => {
+                out.push(Command::WakeAt { at: now + after_s, wake: Wake::Module(token) });
+            }
+            Action::CloseIdle { replica } => out.push(Command::CloseIdle { replica }),
+            Action::Watch => out.push(Command::Watch),
+            Action::Log(text) => out.push(Command::Log(text)),
+            Action::Probe { .. } => {}
+        }
+    }
+
+    fn send(&mut self, now: f64, id: PartId, replica: ReplicaId, max_wait_s: f64, out: &mut Vec<Command>) {
+        let Some(part) = self.parts.get_mut(&id) else { return };
+        let number = part.attempts.len() as u8;
+        let request = part.request.and_then(|key| self.requests.get(key));
+        let allowed = usize::from(number) < self.deployment.policy.max_attempts.min(255) as usize;
+        let Some(request) = request.filter(|_| allowed) else {
+            // Nothing leaves for a part that is over or has used up its attempts.
+            part.attempts.push(None);
+            let (attempt, outcome) = (number, Outcome::Moot);
+            let end = AttemptEnd { part: id, attempt, replica, took_s: 0.0, outcome };
+            return self.events.push_back(Event::AttemptEnded(end));
+        };
+        let left = request.taken_at + request.asked.wait_s - SENDING_S - now;
+        let wait_s = if max_wait_s == 0.0 { left } else { max_wait_s.min(left) }.max(0.0);
+        let key = self.attempts.insert(Attempt { part: id, number, replica, sent_at: now });
+        part.attempts.push(Some(key));
+        self.figures[request.asked.style as usize].attempts += 1;
+        out.push(Command::WakeAt { at: now + wait_s, wake: Wake::Attempt(key) });
+        let sent = CallPart { attempt: key, asked: request.asked.clone(), place: part.place, wait_s };
+        match self.calls.iter_mut().find(|(to, _)| *to == replica) {
+            Some((_, parts)) => parts.push(sent),
+            None => self.calls.push((replica, vec![sent])),
+        }
+    }
+
+    /// Takes an attempt's one outcome; a second one finds nothing.
+    fn end_attempt(&mut self, now: f64, key: AttemptKey, outcome: Outcome, value: Option<Rc<str>>) {
+        let Some(attempt) = self.attempts.remove(key) else { return };
+        let (number, replica) = (attempt.number, attempt.replica);
+        if let Some(part) = self.parts.get_mut(&attempt.part) {
+            part.attempts[usize::from(number)] = None;
+            if let Some(request) = part.request.and_then(|key| self.requests.get_mut(key)) {
+                let first = request.values[part.place].is_none();
+                if outcome == Outcome::Ok && first {
+                    request.values[part.place] = value;
+                }
+                request.outcomes[part.place] = Some(outcome);
+                let unseen = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot];
+                request.may_have_run |= !unseen.contains(&outcome);
+            } else if part.attempts.iter().all(Option::is_none) {
+                self.parts.remove(&attempt.part);
+            }
+        }
+        let took_s = now - attempt.sent_at;
+        let end = AttemptEnd { part: attempt.part, attempt: number, replica, took_s, outcome };
+        self.events.push_back(Event::AttemptEnded(end));
+    }
+
+    /// Answers from the parts that are in. Guards honest answers: none from less than the floor, and none
+    /// called whole that is not, whatever was asked of us.
+    fn answer(&mut self, now: f64, key: RequestKey, whole: bool, out: &mut Vec<Command>) {
+        let request = &self.requests[key];
+        let class = &self.deployment.policy.classes[request.asked.class];
+        let parts = request.asked.parts.iter().zip(&request.values);
+        let share: f64 = parts.filter(|(_, value)| value.is_some()).map(|(part, _)| part.weight).sum();
+        let whole = whole && share + SUM_SLACK >= class.need;
+        let outcomes = || request.outcomes.clone();
+        let last = if share <= 0.0 || share + SUM_SLACK < class.floor {
+            Final::Failed { why: Why::GivenUp, outcomes: outcomes() }
+        } else if request.asked.whole_only && !whole {
+            Final::Failed { why: Why::NotWhole, outcomes: outcomes() }
+        } else {
+            Final::Answered { whole, values: request.values.clone() }
+        };
+        self.finish(now, key, last, out);
+    }
+
+    /// Refuses. Guards the promise of a refusal: what may have run and must not run twice has failed instead.
+    fn refuse(&mut self, now: f64, key: RequestKey, retry_after_s: f64, out: &mut Vec<Command>) {
+        let request = &self.requests[key];
+        let is_out = |id: &PartId| {
+            let attempts = self.parts.get(id).into_iter().flat_map(|part| &part.attempts);
+            attempts.flatten().next().is_some()
+        };
+        let ran = request.may_have_run || request.parts.iter().any(is_out);
+        let harmless = self.deployment.policy.classes[request.asked.class].effect == Effect::Safe;
+        let last = if ran && !harmless {
+            Final::Failed { why: Why::GivenUp, outcomes: request.outcomes.clone() }
+        } else {
+            Final::Refused { why: Why::Overload, retry_after_s }
+        };
+        self.finish(now, key, last, out);
+    }
+
+    /// The one place where a request gets its final answer.
+    fn finish(&mut self, now: f64, key: RequestKey, last: Final, out: &mut Vec<Command>) {
+        let Some(request) = self.forget(key) else { return };
+        let took_s = now - request.taken_at;
+        let figures = &mut self.figures[request.asked.style as usize];
+        match &last {
+            Final::Answered { whole, .. } => {
+                figures.whole += u64::from(*whole);
+                figures.partial += u64::from(!*whole);
+                let aim_s = self.deployment.policy.classes[request.asked.class].aim_s;
+                figures.in_aim += u64::from(took_s <= aim_s);
+            }
+            Final::Refused { .. } => figures.refused += 1,
+            Final::Failed { .. } => figures.failed += 1,
+        }
+        out.push(Command::Reply { caller: request.caller, last, asked: request.asked, took_s });
+    }
+
+    fn forget(&mut self, key: RequestKey) -> Option<Request> {
+        let request = self.requests.remove(key)?;
+        self.queries.remove(&request.query);
+        self.held -= 1 + request.parts.len();
+        for id in &request.parts {
+            if let Some(part) = self.parts.get_mut(id) {
+                part.request = None;
+                if part.attempts.iter().all(Option::is_none) {
+                    self.parts.remove(id);
+                }
+            }
+        }
+        Some(request)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,7 +40,9 @@
 #![warn(missing_docs)]
 
 pub mod api;
+pub mod core;
 mod logic;
+pub mod net;
 pub mod settings;
 pub mod wire;
 
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,191 @@
+//! Discovery: the list of replicas, and the watch on its changes.
+//!
+//! This file owns the names under which replicas are known, their addresses and connections, and the calls
+//! to discovery. It must never judge a replica, and never trust a line: one that makes no sense is passed
+//! over, and the others count.
+
+use super::http::{Message, Reader, Start};
+use super::leaf::Speech;
+use super::{Clock, ConnKey};
+use crate::api::{Lifecycle, ReplicaEntry, ReplicaId};
+use miniserde::json::{Number, Object, Value};
+use mio::net::TcpStream;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// How long a watch waits for news, and how much longer its answer may take (milliseconds, seconds).
+const WATCH_MS: u32 = 8000;
+/// How long the answer to a call is waited for (seconds).
+pub const ANSWER_WITHIN_S: f64 = WATCH_MS as f64 / 1000.0 + 3.0;
+/// Longest list that is read.
+const LIST_MOST: usize = 1024 * 1024;
+/// The zone of a replica whose zone the settings do not name.
+const ZONE_UNKNOWN: u8 = u8::MAX;
+
+/// A replica as this mixer reaches it.
+#[derive(Debug, Default)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Where it listens, if that is known.
+    pub address: Option<SocketAddr>,
+    /// What it speaks.
+    pub speech: Speech,
+    /// Whether something new may go there.
+    pub ready: bool,
+    /// The connections to it.
+    pub conns: Vec<ConnKey>,
+}
+
+/// All replicas that were ever named. Their place is their [`ReplicaId`].
+#[derive(Debug, Default)]
+pub struct Directory {
+    members: Vec<Member>,
+    names: BTreeMap<String, ReplicaId>,
+    zones: Vec<String>,
+}
+
+/// A list, or the changes of one.
+#[derive(Debug, Default, PartialEq)]
+pub struct List {
+    /// Its version, where it has one.
+    pub revision: Option<u64>,
+    /// Whether it names all replicas there are.
+    pub full: bool,
+    /// Its lines, for the module.
+    pub entries: Vec<ReplicaEntry>,
+}
+
+fn text<'a>(object: &'a Object, key: &str) -> Option<&'a str> {
+    match object.get(key)? {
+        Value::String(text) => Some(text),
+        _ => None,
+    }
+}
+
+fn number(object: &Object, key: &str) -> Option<f64> {
+    match object.get(key)? {
+        Value::Number(Number::U64(number)) => Some(*number as f64),
+        Value::Number(Number::I64(number)) => Some(*number as f64),
+        Value::Number(Number::F64(number)) => Some(*number),
+        _ => None,
+    }
+}
+
+impl Directory {
+    /// A directory that names nobody; `zones` are those of the settings.
+    pub fn new(zones: Vec<String>) -> Directory {
+        Directory { zones, ..Directory::default() }
+    }
+
+    /// The replica of that id.
+    pub fn member(&mut self, id: ReplicaId) -> Option<&mut Member> {
+        self.members.get_mut(id.0 as usize)
+    }
+
+    /// All replicas, in the order of their ids.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Reads a list in discovery's form. Unknown keys and senseless lines are passed over.
+    pub fn read(&mut self, list: &Value, clock: &Clock) -> Option<List> {
+        let Value::Object(list) = list else { return None };
+        let Some(Value::Array(lines)) = list.get("members") else { return None };
+        let revision = match list.get("revision") {
+            Some(Value::Number(Number::U64(revision))) => Some(*revision),
+            _ => None,
+        };
+        let full = !matches!(list.get("complete"), Some(Value::Bool(false)));
+        let mut named = Vec::new();
+        let mut entries = Vec::new();
+        for line in lines.iter() {
+            let Value::Object(line) = line else { continue };
+            let Some(entry) = self.line(line, clock) else { continue };
+            named.push(entry.id);
+            entries.push(entry);
+        }
+        if full {
+            for (place, member) in self.members.iter_mut().enumerate() {
+                member.ready &= named.contains(&ReplicaId(place as u32));
+            }
+        }
+        Some(List { revision, full, entries })
+    }
+
+    fn line(&mut self, line: &Object, clock: &Clock) -> Option<ReplicaEntry> {
+        let name = text(line, "id")?;
+        let lifecycle = match text(line, "phase")? {
+            "Ready" => Lifecycle::Ready,
+            "Terminating" => Lifecycle::Draining,
+            // Guards against sending to what is in a state that we don't know.
+            _ => Lifecycle::Gone,
+        };
+        let cell = number(line, "cell").filter(|cell| *cell >= 0.0 && *cell <= f64::from(u32::MAX));
+        let cell = match cell {
+            Some(cell) => cell as u32,
+            None if lifecycle == Lifecycle::Gone => 0,
+            None => return None,
+        };
+        let zone = text(line, "locality").and_then(|zone| self.zones.iter().position(|name| name == zone));
+        let zone = zone.and_then(|place| u8::try_from(place).ok()).unwrap_or(ZONE_UNKNOWN);
+        let started_at = number(line, "up_since_ms").map_or(0.0, |at| clock.from_wall_ms(at));
+        let id = match self.names.get(name) {
+            Some(id) => *id,
+            None => {
+                let id = ReplicaId(u32::try_from(self.members.len()).ok()?);
+                self.members.push(Member { name: name.to_string(), ..Member::default() });
+                self.names.insert(name.to_string(), id);
+                id
+            }
+        };
+        let member = &mut self.members[id.0 as usize];
+        if let Some(address) = text(line, "host_port") {
+            member.address = address.parse().ok();
+        }
+        if let Some(speech) = text(line, "speaks") {
+            member.speech = if speech == "opensearch" { Speech::Search } else { Speech::Frames };
+        }
+        member.ready = lifecycle == Lifecycle::Ready;
+        Some(ReplicaEntry { id, zone, cell, lifecycle, started_at })
+    }
+}
+
+/// A connection to discovery with a call on it.
+pub struct DiscoveryConn {
+    /// Its socket.
+    pub stream: TcpStream,
+    /// What is still to be written.
+    pub out: Vec<u8>,
+    /// What has come and not been read.
+    pub inbuf: Vec<u8>,
+    /// Reads it.
+    pub reader: Reader,
+    /// Whether it has come up.
+    pub up: bool,
+    /// When the answer is overdue.
+    pub due: f64,
+}
+
+impl DiscoveryConn {
+    /// A connection that is on its way.
+    pub fn new(stream: TcpStream) -> DiscoveryConn {
+        let reader = Reader::responses(LIST_MOST);
+        DiscoveryConn { stream, out: Vec::new(), inbuf: Vec::new(), reader, up: false, due: f64::MAX }
+    }
+}
+
+/// The text of the next call: a watch from that version on, or the whole list.
+pub fn call(host: &str, revision: Option<u64>) -> Vec<u8> {
+    let query = revision.map_or(String::new(), |revision| format!("?index={revision}&wait={WATCH_MS}"));
+    format!("GET /api/targets{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n")
+        .into_bytes()
+}
+
+/// The list in an answer, as JSON; none where the call failed.
+pub fn answer(message: &Message) -> Option<Value> {
+    if message.start != (Start::Response { status: 200 }) {
+        return None;
+    }
+    miniserde::json::from_str(std::str::from_utf8(&message.body).ok()?).ok()
+}
--- /dev/null
+++ b/src/net/leaf.rs
@@ -0,0 +1,331 @@
+//! Connections to replicas: frames out, answers in.
+//!
+//! This file owns what is said on a connection to a replica, in frames or (by `opensearch.rs`) in HTTP, and
+//! knows for each attempt whether its last byte has left and what has become of it. It must never decide
+//! where a part goes, never give an attempt two outcomes, and never take an answer for an attempt that went
+//! out on another connection.
+
+use super::http::Reader;
+use super::opensearch;
+use crate::api::{Outcome, ReplicaId};
+use crate::core::{AttemptKey, CallPart};
+use mio::net::TcpStream;
+use std::collections::VecDeque;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Longest frame that a replica may send, and most bytes that may wait to be written to it.
+const FRAME_MOST: usize = 128 * 1024;
+const WAITING_MOST: usize = 512 * 1024;
+
+/// What a replica speaks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Speech {
+    /// The platform's frames.
+    #[default]
+    Frames,
+    /// The search API over HTTP/1.1.
+    Search,
+}
+
+/// A part that is out on a connection. It stays, without its attempt, after that was given up: its answer
+/// may still come, and must not be taken for that of a later attempt of the same part.
+struct Stream {
+    attempt: Option<AttemptKey>,
+    id: String,
+    written: bool,
+    until: f64,
+}
+
+struct Frame {
+    bytes: Vec<u8>,
+    attempts: Vec<AttemptKey>,
+    begun: bool,
+}
+
+/// What a replica said of an attempt.
+#[derive(Debug, PartialEq)]
+pub struct Said {
+    /// Which.
+    pub attempt: AttemptKey,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The value, where it was served.
+    pub value: Option<Rc<str>>,
+}
+
+/// One connection to a replica.
+pub struct LeafConn {
+    /// Its socket.
+    pub stream: TcpStream,
+    /// Where it goes.
+    pub replica: ReplicaId,
+    /// The address it was opened to; a replica's may change.
+    pub address: SocketAddr,
+    /// Whether it has come up.
+    pub up: bool,
+    /// When it was last used.
+    pub used_at: f64,
+    speech: Speech,
+    reader: Reader,
+    frames: VecDeque<Frame>,
+    sent: usize, // bytes of the first frame that have left
+    waiting: usize,
+    inbuf: Vec<u8>,
+    streams: Vec<Stream>,
+}
+
+/// The id of a part on the wire.
+fn part_id(part: &CallPart) -> String {
+    format!("{}.{}", part.asked.id, part.asked.parts[part.place].shard)
+}
+
+fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
+    let mut out = ((rest.len() + 1) as u32).to_be_bytes().to_vec();
+    out.push(letter);
+    out.extend_from_slice(rest);
+    out
+}
+
+/// The frame of one call.
+fn call(parts: &[CallPart]) -> Vec<u8> {
+    let mut rest = Vec::new();
+    for part in parts {
+        let (id, text) = (part_id(part), part.asked.text.as_bytes());
+        let shard = part.asked.parts[part.place].shard;
+        let wait = (part.wait_s * 1000.0).floor().max(1.0) as u64;
+        let key = part.asked.idempotency.as_ref().map(|key| format!(",k={key}")).unwrap_or_default();
+        rest.extend_from_slice(format!("{id} {shard} d={wait}{key} {}\n", text.len()).as_bytes());
+        rest.extend_from_slice(text);
+    }
+    frame(b'q', &rest)
+}
+
+/// An answer frame taken apart: id, outcome, value. None where it has not the form of one.
+fn answer(rest: &[u8]) -> Option<(&str, Outcome, &str)> {
+    let end = rest.iter().position(|byte| *byte == b'\n')?;
+    let mut words = std::str::from_utf8(&rest[..end]).ok()?.split(' ');
+    let (id, outcome) = (words.next()?, words.next()?);
+    let value = std::str::from_utf8(&rest[end + 1..]);
+    let outcome = match (outcome, value.is_ok()) {
+        ("served", true) => Outcome::Ok,
+        ("skipped", _) => Outcome::Full,
+        // What is served but can't be passed on is an error; so is any word that we don't know.
+        _ => Outcome::Error,
+    };
+    Some((id, outcome, value.unwrap_or_default()))
+}
+
+impl LeafConn {
+    /// A connection that is on its way.
+    pub fn new(
+        stream: TcpStream,
+        replica: ReplicaId,
+        address: SocketAddr,
+        speech: Speech,
+        now: f64,
+    ) -> LeafConn {
+        LeafConn {
+            stream,
+            replica,
+            address,
+            up: false,
+            used_at: now,
+            speech,
+            reader: Reader::responses(FRAME_MOST),
+            frames: VecDeque::new(),
+            sent: 0,
+            waiting: 0,
+            inbuf: Vec::new(),
+            streams: Vec::new(),
+        }
+    }
+
+    /// Parts that count against what the connection carries at a time.
+    pub fn carries(&mut self, now: f64) -> usize {
+        self.streams.retain(|stream| stream.attempt.is_some() || stream.until > now);
+        self.streams.len()
+    }
+
+    /// Whether no attempt is out on it.
+    pub fn unused(&self) -> bool {
+        self.streams.iter().all(|stream| stream.attempt.is_none())
+    }
+
+    /// Whether these parts may go out on it: there is room, and none of their ids is out on it already,
+    /// for an answer names the part and not the attempt.
+    pub fn takes(&mut self, parts: &[CallPart], streams_most: usize, now: f64) -> bool {
+        let most = if self.speech == Speech::Search { 1 } else { streams_most };
+        // A call wider than a connection's limit goes out on an empty one; its rest waits unread.
+        let carried = self.carries(now);
+        let room = carried == 0 || carried + parts.len() <= most;
+        let same = |part: &CallPart| self.streams.iter().any(|stream| stream.id == part_id(part));
+        room && self.waiting <= WAITING_MOST && !parts.iter().any(same)
+    }
+
+    /// Takes a call; its bytes leave with [`LeafConn::flush`].
+    pub fn call(&mut self, parts: &[CallPart], now: f64) {
+        let bytes = match self.speech {
+            Speech::Frames => call(parts),
+            Speech::Search => opensearch::leaf_request(parts),
+        };
+        for part in parts {
+            self.streams.push(Stream {
+                attempt: Some(part.attempt),
+                id: part_id(part),
+                written: false,
+                until: now + part.wait_s,
+            });
+        }
+        self.waiting += bytes.len();
+        let attempts = parts.iter().map(|part| part.attempt).collect();
+        self.frames.push_back(Frame { bytes, attempts, begun: false });
+        self.used_at = now;
+    }
+
+    /// Nobody waits for this attempt any more. Says whether the connection has to be closed for it.
+    pub fn give_up(&mut self, attempt: AttemptKey) -> bool {
+        let Some(at) = self.streams.iter().position(|stream| stream.attempt == Some(attempt)) else {
+            return false;
+        };
+        // What has not begun to leave, and is alone in its call, never leaves.
+        let alone = |frame: &Frame| !frame.begun && frame.attempts == [attempt];
+        if let Some(place) = self.frames.iter().position(alone) {
+            self.waiting -= self.frames[place].bytes.len();
+            self.frames.remove(place);
+            self.streams.remove(at);
+            return false;
+        }
+        self.streams[at].attempt = None;
+        if self.speech == Speech::Search {
+            return true; // HTTP/1.1 has no other way to give a request up
+        }
+        let bytes = frame(b'c', self.streams[at].id.as_bytes());
+        self.waiting += bytes.len();
+        self.frames.push_back(Frame { bytes, attempts: Vec::new(), begun: false });
+        false
+    }
+
+    /// Drops every call that has not begun to leave: the replica must get nothing new. Gives the attempts.
+    pub fn withdraw(&mut self) -> Vec<AttemptKey> {
+        let mut withdrawn = Vec::new();
+        self.frames.retain(|frame| {
+            let keep = frame.begun || frame.attempts.is_empty();
+            if !keep {
+                withdrawn.extend(&frame.attempts);
+            }
+            keep
+        });
+        self.waiting = self.frames.iter().map(|frame| frame.bytes.len()).sum::<usize>() - self.sent;
+        self.streams.retain(|stream| !stream.attempt.is_some_and(|attempt| withdrawn.contains(&attempt)));
+        withdrawn
+    }
+
+    /// Writes what the socket takes.
+    pub fn flush(&mut self) -> io::Result<()> {
+        while let Some(frame) = self.frames.front_mut().filter(|_| self.up) {
+            match self.stream.write(&frame.bytes[self.sent..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => {
+                    frame.begun = true;
+                    (self.sent, self.waiting) = (self.sent + count, self.waiting - count);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => return Err(error),
+            }
+            if self.sent == frame.bytes.len() {
+                for stream in &mut self.streams {
+                    stream.written |= stream.attempt.is_some_and(|attempt| frame.attempts.contains(&attempt));
+                }
+                self.sent = 0;
+                self.frames.pop_front();
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads what has come into `said`; an error means that the connection is over.
+    pub fn read(&mut self, now: f64, said: &mut Vec<Said>) -> io::Result<()> {
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            match self.stream.read(&mut buffer) {
+                Ok(0) => {
+                    self.take_in(true, now, said)?;
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+                Ok(count) => {
+                    self.inbuf.extend_from_slice(&buffer[..count]);
+                    self.take_in(false, now, said)?;
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    fn take_in(&mut self, ended: bool, now: f64, said: &mut Vec<Said>) -> io::Result<()> {
+        match self.speech {
+            Speech::Frames => self.take_frames(now, said),
+            Speech::Search => {
+                let read = self.reader.read(&mut self.inbuf, ended).map_err(io::Error::other)?;
+                let Some(message) = read else { return Ok(()) };
+                let Some(stream) = self.streams.pop() else {
+                    return Err(io::Error::other("an answer to nothing"));
+                };
+                self.used_at = now;
+                let (outcome, value) = opensearch::leaf_answer(&message);
+                said.extend(stream.attempt.map(|attempt| Said { attempt, outcome, value }));
+                if message.keep_alive {
+                    Ok(())
+                } else {
+                    Err(io::Error::other("closed after its answer"))
+                }
+            }
+        }
+    }
+
+    fn take_frames(&mut self, now: f64, said: &mut Vec<Said>) -> io::Result<()> {
+        let mut at = 0;
+        while let Some(head) = self.inbuf.get(at..at + 4).and_then(|head| <[u8; 4]>::try_from(head).ok()) {
+            let length = u32::from_be_bytes(head) as usize;
+            if length == 0 || length > FRAME_MOST {
+                return Err(io::Error::other("a frame of impossible length"));
+            }
+            let Some(body) = self.inbuf.get(at + 4..at + 4 + length) else { break };
+            let (letter, rest) = (body[0], &body[1..]);
+            match letter {
+                b'a' => {
+                    let form = || io::Error::other("an answer without form");
+                    let (id, outcome, value) = answer(rest).ok_or_else(form)?;
+                    // An answer to nothing that is out here is passed over.
+                    if let Some(place) = self.streams.iter().position(|stream| stream.id == id) {
+                        let stream = self.streams.remove(place);
+                        let value = (outcome == Outcome::Ok).then(|| Rc::from(value));
+                        said.extend(stream.attempt.map(|attempt| Said { attempt, outcome, value }));
+                    }
+                    self.used_at = now;
+                }
+                b'e' => {
+                    let words = String::from_utf8_lossy(rest).into_owned();
+                    return Err(io::Error::other(format!("the replica could not use a frame: {words}")));
+                }
+                _ => return Err(io::Error::other("a frame of unknown kind")),
+            }
+            at += 4 + length;
+        }
+        self.inbuf.drain(..at);
+        Ok(())
+    }
+
+    /// What becomes of all that is out when the connection is over.
+    pub fn broken(&mut self) -> Vec<(AttemptKey, Outcome)> {
+        let ends = self.streams.drain(..).filter_map(|stream| {
+            let outcome = if stream.written { Outcome::Reset } else { Outcome::ConnectFailed };
+            Some((stream.attempt?, outcome))
+        });
+        ends.collect()
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,987 @@
+//! The loop: one thread, one poll, every socket.
+//!
+//! This file owns the sockets, the table of connections, the one ordered structure of deadlines and the
+//! phases of the program from start to exit. It carries out what the core commands and tells it what came
+//! of that. It must never decide about a request, never block but in its poll, and never let clients take
+//! the descriptors that replicas and discovery need.
+
+pub mod discovery;
+pub mod http;
+pub mod leaf;
+pub mod opensearch;
+pub mod platform;
+
+use crate::api::{Outcome, ReplicaId};
+use crate::core::{AttemptKey, CallPart, Command, Core, RequestKey, Style, Wake};
+use crate::settings::Deployment;
+use discovery::{Directory, DiscoveryConn};
+use http::{HttpError, Message, Reader};
+use leaf::{LeafConn, Said};
+use miniserde::json::Value;
+use mio::net::{TcpListener, TcpStream, UnixStream};
+use mio::{Events, Interest, Poll, Token};
+use slotmap::{Key, KeyData, SecondaryMap, SlotMap};
+use std::collections::BTreeSet;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use thiserror::Error;
+
+/// Longest body of a client.
+const BODY_MOST: usize = 64 * 1024;
+/// How long a client may take over one request, may stay without one, and may linger after a last answer.
+const REQUEST_S: f64 = 10.0;
+const IDLE_S: f64 = 120.0;
+const LINGER_S: f64 = 1.0;
+/// After SIGTERM clients are served for so long before the listener closes (seconds).
+const DRAIN_S: f64 = 0.7;
+/// What exits must wait for a last answer to be read, at most (seconds).
+const LAST_LINGER_S: f64 = 0.2;
+/// Connections to one replica, at most.
+const CONNS_A_REPLICA: usize = 8;
+/// Descriptors for anything but connections: standard ones, poll, listener, signals, spare.
+const OTHER_DESCRIPTORS: usize = 24;
+/// Where an accept failed for want of descriptors it is tried again after this time (seconds).
+const ACCEPT_AGAIN_S: f64 = 0.02;
+/// Of the time after which a replica closes an idle connection, the share after which we do.
+const IDLE_SHARE: f64 = 0.8;
+/// Where nobody else asks again, a failed call to discovery is repeated after this time (seconds).
+const ASK_AGAIN_S: f64 = 0.5;
+/// Log lines in a second, at most.
+const LINES_MOST: u32 = 50;
+/// The clock starts here, so that a replica's start before ours is still a time after 0 (seconds).
+const CLOCK_START_S: f64 = 1e6;
+
+const LISTENER: Token = Token(0);
+const SIGNALS: Token = Token(1);
+
+slotmap::new_key_type! {
+    /// A connection in the table.
+    pub struct ConnKey;
+}
+
+fn token(key: ConnKey) -> Token {
+    Token(key.data().as_ffi() as usize)
+}
+
+/// Why the mixer could not start or go on.
+#[derive(Debug, Error)]
+pub enum NetError {
+    /// The listener could not be opened.
+    #[error("cannot listen on {address}: {error}")]
+    Listen {
+        /// Where.
+        address: SocketAddr,
+        /// Why.
+        error: io::Error,
+    },
+    /// The system refuses what the loop itself needs.
+    #[error("the loop failed: {0}")]
+    Loop(#[from] io::Error),
+}
+
+/// What the program is told at its start.
+pub struct Options {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Discovery, where there is one.
+    pub discovery: Option<SocketAddr>,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors it may hold.
+    pub sockets: usize,
+    /// The list of replicas as last known.
+    pub known: Option<Value>,
+    /// The settings.
+    pub deployment: Deployment,
+}
+
+/// The one clock: monotonic, tied to wall time once, so that a time told twice is twice the same.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+    wall_ms: f64,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Clock {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { origin: Instant::now(), wall_ms: wall.as_secs_f64() * 1000.0 }
+    }
+
+    /// The time now (seconds).
+    pub fn now(&self) -> f64 {
+        CLOCK_START_S + self.origin.elapsed().as_secs_f64()
+    }
+
+    /// A Unix time in milliseconds on this clock; 0 where it is unset or too long ago to matter.
+    pub fn from_wall_ms(&self, at: f64) -> f64 {
+        if at <= 0.0 || !at.is_finite() {
+            return 0.0;
+        }
+        (CLOCK_START_S + (at - self.wall_ms) / 1000.0).max(0.0)
+    }
+}
+
+/// What a deadline is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Core(Wake),
+    Conn(ConnKey),
+    Accept,
+    Ask,
+    Phase,
+}
+
+/// Every deadline of the program, in order of time. None is taken out early: one that has lost its sense
+/// finds its slot gone or its time moved.
+#[derive(Default)]
+struct Agenda {
+    dues: BTreeSet<(u64, Due)>,
+}
+
+impl Agenda {
+    fn add(&mut self, at: f64, due: Due) {
+        self.dues.insert(((at.max(0.0) * 1e6) as u64, due));
+    }
+
+    fn wait(&self, now: f64) -> Option<Duration> {
+        let (at, _) = self.dues.first()?;
+        Some(Duration::from_micros(at.saturating_sub((now * 1e6) as u64)))
+    }
+
+    fn next(&mut self, now: f64) -> Option<Due> {
+        let due = self.dues.first().is_some_and(|(at, _)| *at <= (now * 1e6) as u64);
+        if due {
+            self.dues.pop_first().map(|(_, due)| due)
+        } else {
+            None
+        }
+    }
+}
+
+/// From start to exit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    /// No list of replicas yet: not ready.
+    Starting,
+    /// Ready.
+    Serving,
+    /// Told to end: unready, still accepting until that time.
+    Draining { until: f64 },
+    /// The listener is closed; what is held is answered until none is left, or that time.
+    Closing { until: f64 },
+    /// Over.
+    Stopped,
+}
+
+/// What a client's connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum ClientState {
+    /// Between requests, or in the middle of reading one.
+    Reading,
+    /// The core holds its request.
+    Held(RequestKey),
+    /// An answer is being written.
+    Writing,
+    /// The last answer is out; whatever still comes is thrown away.
+    Lingering,
+}
+
+struct Client {
+    stream: TcpStream,
+    state: ClientState,
+    reader: Reader,
+    inbuf: Vec<u8>,
+    out: Vec<u8>,
+    written: usize,
+    ended: bool, // its side is closed: nothing more comes, but it may still read
+    close: bool, // after the answer
+    told_to_go_on: bool,
+    since: f64, // when its state began
+}
+
+impl Client {
+    fn idle(&self) -> bool {
+        self.state == ClientState::Reading && self.inbuf.is_empty() && !self.reader.inside()
+    }
+
+    fn limit(&self) -> f64 {
+        match self.state {
+            ClientState::Reading if self.idle() => self.since + IDLE_S,
+            ClientState::Reading | ClientState::Writing => self.since + REQUEST_S,
+            ClientState::Held(_) => f64::MAX,
+            ClientState::Lingering => self.since + LINGER_S,
+        }
+    }
+}
+
+enum Conn {
+    Client(Box<Client>),
+    Leaf(Box<LeafConn>),
+    Discovery(Box<DiscoveryConn>),
+}
+
+/// The mixer on its sockets.
+pub struct Mixer {
+    poll: Poll,
+    listener: Option<TcpListener>,
+    signals: UnixStream,
+    conns: SlotMap<ConnKey, Conn>,
+    flights: SecondaryMap<AttemptKey, ConnKey>, // where each attempt is out
+    agenda: Agenda,
+    core: Core,
+    commands: Vec<Command>,
+    resumed: Vec<ConnKey>, // clients that may have sent more while they were being answered
+    deployment: Rc<Deployment>,
+    directory: Directory,
+    discovery: Option<SocketAddr>,
+    asking: Option<ConnKey>,
+    revision: Option<u64>,
+    phase: Phase,
+    clock: Clock,
+    now: f64,
+    clients: usize,
+    clients_most: usize,
+    leaves: usize,
+    leaves_most: usize,
+    lines: (f64, u32),
+}
+
+impl Mixer {
+    /// Opens the listener and all that the loop needs. `stop` becomes readable when the program is to end.
+    pub fn new(options: Options, stop: std::os::unix::net::UnixStream) -> Result<Mixer, NetError> {
+        let poll = Poll::new()?;
+        let address = options.listen;
+        let mut listener = TcpListener::bind(address).map_err(|error| NetError::Listen { address, error })?;
+        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        stop.set_nonblocking(true)?;
+        let mut signals = UnixStream::from_std(stop);
+        poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
+        let clock = Clock::start();
+        let now = clock.now();
+        let deployment = Rc::new(options.deployment);
+        // Guards the sockets to replicas and discovery: clients get what is left of the limit.
+        let usable = options.sockets.saturating_sub(OTHER_DESCRIPTORS).max(8);
+        let leaves_most = (usable / 3).max(4);
+        let mut mixer = Mixer {
+            poll,
+            listener: Some(listener),
+            signals,
+            conns: SlotMap::with_key(),
+            flights: SecondaryMap::new(),
+            agenda: Agenda::default(),
+            core: Core::new(deployment.clone(), options.seed, now),
+            commands: Vec::new(),
+            resumed: Vec::new(),
+            directory: Directory::new(deployment.zones.clone()),
+            deployment,
+            discovery: options.discovery,
+            asking: None,
+            revision: None,
+            phase: Phase::Starting,
+            clock,
+            now,
+            clients: 0,
+            clients_most: usable - leaves_most,
+            leaves: 0,
+            leaves_most,
+            lines: (now, 0),
+        };
+        let listening = mixer.listener.as_ref().map_or(Ok(address), TcpListener::local_addr)?;
+        mixer.log(&format!("start: {} listens on {listening}", options.name));
+        if let Some(known) = &options.known {
+            mixer.take_list(known);
+        }
+        if !mixer.deployment.policy.must_ask {
+            mixer.ask();
+        }
+        mixer.settle();
+        Ok(mixer)
+    }
+
+    /// Runs until the program is to end and all that was held is answered.
+    pub fn run(&mut self) -> Result<(), NetError> {
+        let mut events = Events::with_capacity(256);
+        while self.phase != Phase::Stopped {
+            let wait = self.agenda.wait(self.clock.now());
+            match self.poll.poll(&mut events, wait) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                result => result?,
+            }
+            self.now = self.clock.now();
+            for event in &events {
+                match event.token() {
+                    LISTENER => self.accept(),
+                    SIGNALS => self.stop_asked(),
+                    Token(key) => {
+                        let key = ConnKey::from(KeyData::from_ffi(key as u64));
+                        let gone = event.is_error() || (event.is_read_closed() && event.is_write_closed());
+                        self.conn_event(key, gone, event.is_read_closed());
+                    }
+                }
+                self.settle();
+            }
+            self.now = self.clock.now();
+            while let Some(due) = self.agenda.next(self.now) {
+                self.due(due);
+                self.settle();
+            }
+            self.check_end();
+        }
+        Ok(())
+    }
+
+    fn log(&mut self, line: &str) {
+        if self.now >= self.lines.0 + 1.0 {
+            self.lines = (self.now, 0);
+        }
+        self.lines.1 += 1;
+        if self.lines.1 <= LINES_MOST {
+            // A log that nobody reads is no reason to end.
+            let _ = writeln!(io::stderr(), "wharfhub {:.3} {line}", self.now - CLOCK_START_S);
+        }
+    }
+
+    /// Carries out what the core commands, and what comes of that, until nothing is left.
+    fn settle(&mut self) {
+        while !self.commands.is_empty() || !self.resumed.is_empty() {
+            for key in std::mem::take(&mut self.resumed) {
+                self.read_client(key);
+            }
+            for command in std::mem::take(&mut self.commands) {
+                match command {
+                    Command::Call { replica, parts } => self.call(replica, parts),
+                    Command::GiveUp { attempt } => self.give_up(attempt),
+                    Command::Reply { caller, last, asked, .. } => {
+                        let key = ConnKey::from(KeyData::from_ffi(caller));
+                        let close = self.closes();
+                        let bytes = platform::answer(&asked, last, close);
+                        self.respond(key, bytes, close);
+                    }
+                    Command::WakeAt { at, wake } => self.agenda.add(at, Due::Core(wake)),
+                    Command::Watch => self.ask(),
+                    Command::CloseIdle { replica } => self.close_idle(replica),
+                    Command::Log(line) => self.log(&line),
+                }
+            }
+        }
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Core(wake) => self.core.wake(self.now, wake, &mut self.commands),
+            Due::Conn(key) => self.conn_due(key),
+            Due::Accept => self.accept(),
+            Due::Ask => self.ask(),
+            Due::Phase => {
+                if let Phase::Draining { .. } = self.phase {
+                    self.close_listener();
+                }
+            }
+        }
+    }
+
+    // ---- phases
+
+    fn closes(&self) -> bool {
+        !matches!(self.phase, Phase::Starting | Phase::Serving)
+    }
+
+    fn stop_asked(&mut self) {
+        let mut buffer = [0; 64];
+        while matches!(self.signals.read(&mut buffer), Ok(count) if count > 0) {}
+        if matches!(self.phase, Phase::Starting | Phase::Serving) {
+            let until = self.now + DRAIN_S;
+            self.phase = Phase::Draining { until };
+            self.agenda.add(until, Due::Phase);
+            self.log("drain: told to end; unready, still serving");
+        }
+    }
+
+    /// Empties the accept queue, closes the listener and sends idle clients away. What a client wrote to a
+    /// connection that was accepted counts as taken, so each is read once more first.
+    fn close_listener(&mut self) {
+        self.accept();
+        self.listener = None;
+        let longest = self.deployment.policy.classes.iter().map(|class| class.deadline_s);
+        let until = self.now + longest.fold(3.0, f64::max);
+        self.phase = Phase::Closing { until };
+        self.agenda.add(until, Due::Phase);
+        let clients: Vec<ConnKey> = self
+            .conns
+            .iter()
+            .filter(|(_, conn)| matches!(conn, Conn::Client(_)))
+            .map(|(key, _)| key)
+            .collect();
+        for key in clients {
+            self.read_client(key);
+            self.settle();
+            if let Some(Conn::Client(client)) = self.conns.get_mut(key) {
+                if client.idle() {
+                    self.linger(key);
+                }
+            }
+        }
+        self.log(&format!("drain: listener closed, {} requests held", self.core.open()));
+    }
+
+    fn check_end(&mut self) {
+        let Phase::Closing { until } = self.phase else { return };
+        let busy = |conn: &Conn| match conn {
+            Conn::Client(client) => {
+                client.state != ClientState::Lingering || self.now < client.since + LAST_LINGER_S
+            }
+            _ => false,
+        };
+        if self.now >= until || !self.conns.values().any(busy) {
+            self.phase = Phase::Stopped;
+            self.log("stop: all that was held is answered");
+        } else {
+            self.agenda.add(self.now + LAST_LINGER_S / 4.0, Due::Phase);
+        }
+    }
+
+    // ---- clients
+
+    fn accept(&mut self) {
+        loop {
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    if self.clients >= self.clients_most {
+                        self.evict();
+                    }
+                    self.take_client(stream);
+                }
+                Err(error) => match error.kind() {
+                    io::ErrorKind::WouldBlock => return,
+                    io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted => {}
+                    _ => {
+                        // Out of descriptors or memory: the queue stays, and nothing tells us of it again.
+                        self.log(&format!("accept: {error}"));
+                        self.evict();
+                        self.agenda.add(self.now + ACCEPT_AGAIN_S, Due::Accept);
+                        return;
+                    }
+                },
+            }
+        }
+    }
+
+    fn take_client(&mut self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let client = Client {
+            stream,
+            state: ClientState::Reading,
+            reader: Reader::requests(BODY_MOST),
+            inbuf: Vec::new(),
+            out: Vec::new(),
+            written: 0,
+            ended: false,
+            close: false,
+            told_to_go_on: false,
+            since: self.now,
+        };
+        let key = self.conns.insert(Conn::Client(Box::new(client)));
+        self.clients += 1;
+        self.register(key);
+        self.agenda.add(self.now + REQUEST_S, Due::Conn(key));
+        self.read_client(key);
+    }
+
+    /// Makes room for a client: the one that has been without a request for the longest goes, or failing
+    /// that the slowest to send one. Those whose requests are held stay.
+    fn evict(&mut self) {
+        let rank = |(key, conn): (ConnKey, &Conn)| match conn {
+            Conn::Client(client) if client.state == ClientState::Lingering => Some((0, client.since, key)),
+            Conn::Client(client) if client.idle() => Some((1, client.since, key)),
+            Conn::Client(client) if client.state == ClientState::Reading => Some((2, client.since, key)),
+            _ => None,
+        };
+        let order = |a: &(u8, f64, ConnKey), b: &(u8, f64, ConnKey)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
+        if let Some((_, _, key)) = self.conns.iter().filter_map(rank).min_by(order) {
+            self.drop_conn(key);
+        }
+    }
+
+    fn register(&mut self, key: ConnKey) {
+        let both = Interest::READABLE | Interest::WRITABLE;
+        let registry = self.poll.registry();
+        let result = match self.conns.get_mut(key) {
+            Some(Conn::Client(client)) => registry.register(&mut client.stream, token(key), both),
+            Some(Conn::Leaf(leaf)) => registry.register(&mut leaf.stream, token(key), both),
+            Some(Conn::Discovery(conn)) => registry.register(&mut conn.stream, token(key), both),
+            None => Ok(()),
+        };
+        if let Err(error) = result {
+            self.log(&format!("poll: {error}"));
+        }
+    }
+
+    fn conn_event(&mut self, key: ConnKey, gone: bool, read_closed: bool) {
+        match self.conns.get_mut(key) {
+            Some(Conn::Client(client)) => {
+                if let (true, ClientState::Held(request)) = (gone, client.state) {
+                    self.core.leave(self.now, request, &mut self.commands);
+                    return self.drop_conn(key);
+                }
+                client.ended |= read_closed;
+                match client.state {
+                    ClientState::Writing => self.write_client(key),
+                    ClientState::Held(_) => {}
+                    _ => self.read_client(key),
+                }
+            }
+            Some(Conn::Leaf(_)) => self.leaf_event(key),
+            Some(Conn::Discovery(_)) => self.discovery_event(key),
+            None => {} // an event for a connection that is gone
+        }
+    }
+
+    /// Reads a client until there is nothing left, or a whole request.
+    fn read_client(&mut self, key: ConnKey) {
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
+            if !matches!(client.state, ClientState::Reading | ClientState::Lingering) {
+                return;
+            }
+            if client.state == ClientState::Reading && !client.inbuf.is_empty() {
+                match client.reader.read(&mut client.inbuf, false) {
+                    Ok(Some(message)) => {
+                        self.take_request(key, message);
+                        continue;
+                    }
+                    Ok(None) => {
+                        if client.reader.expects_continue() && !client.told_to_go_on {
+                            client.told_to_go_on = true;
+                            let _ = client.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        }
+                    }
+                    Err(error) => return self.malformed(key, error),
+                }
+            }
+            let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
+            match client.stream.read(&mut buffer) {
+                Ok(0) => {
+                    client.ended = true;
+                    // The end of a client that has no request with us.
+                    return self.drop_conn(key);
+                }
+                Ok(count) => {
+                    if client.state == ClientState::Reading {
+                        if client.idle() {
+                            client.since = self.now;
+                            self.agenda.add(self.now + REQUEST_S, Due::Conn(key));
+                        }
+                        client.inbuf.extend_from_slice(&buffer[..count]);
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return self.drop_conn(key),
+            }
+        }
+    }
+
+    fn malformed(&mut self, key: ConnKey, error: HttpError) {
+        let bytes = platform::error(error.status(), &error.to_string(), &[], true);
+        self.respond(key, bytes, true);
+    }
+
+    fn take_request(&mut self, key: ConnKey, message: Message) {
+        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
+        client.close = !message.keep_alive;
+        client.told_to_go_on = false;
+        let close = client.close || self.closes();
+        match platform::request(&message, &self.deployment) {
+            platform::Request::Query(asked) => {
+                let caller = key.data().as_ffi();
+                // Held from here on; the answer may be among the commands already.
+                let request = self.core.take(self.now, asked, caller, &mut self.commands);
+                if let Some(Conn::Client(client)) = self.conns.get_mut(key) {
+                    (client.state, client.since) = (ClientState::Held(request), self.now);
+                }
+            }
+            platform::Request::Ready => {
+                let (status, body) = match self.phase {
+                    Phase::Serving => (200, "{\"ready\":true}"),
+                    _ => (503, "{\"ready\":false}"),
+                };
+                self.respond(key, http::response(status, &[], body, close), close);
+            }
+            platform::Request::Healthy => self.respond(key, http::response(200, &[], "{}", close), close),
+            platform::Request::Figures => {
+                let each = [("platform", Style::Platform), ("search", Style::Search)];
+                let body = platform::figures(&each.map(|(name, style)| (name, self.core.figures(style))));
+                self.respond(key, http::response(200, &[], &body, close), close);
+            }
+            platform::Request::Bad(status, why) => {
+                self.respond(key, platform::error(status, why, &[], true), true);
+            }
+        }
+    }
+
+    /// Begins to write an answer. A client that has gone in the meantime gets none.
+    fn respond(&mut self, key: ConnKey, bytes: Vec<u8>, close: bool) {
+        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
+        (client.out, client.written, client.state, client.since) = (bytes, 0, ClientState::Writing, self.now);
+        client.close |= close;
+        self.agenda.add(self.now + REQUEST_S, Due::Conn(key));
+        self.write_client(key);
+    }
+
+    fn write_client(&mut self, key: ConnKey) {
+        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
+        while client.written < client.out.len() {
+            match client.stream.write(&client.out[client.written..]) {
+                Ok(count) => client.written += count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return self.drop_conn(key),
+            }
+        }
+        client.out.clear();
+        (client.state, client.since) = (ClientState::Reading, self.now);
+        if client.close || (client.ended && client.inbuf.is_empty()) {
+            return self.linger(key);
+        }
+        // More may have come in the meantime, and no event tells of it again. Not read here: a client that
+        // sends many requests ahead would take us deeper with each.
+        self.resumed.push(key);
+    }
+
+    /// Ends our side and waits for the other: closing at once could destroy an answer on its way.
+    fn linger(&mut self, key: ConnKey) {
+        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
+        let _ = client.stream.shutdown(std::net::Shutdown::Write);
+        (client.state, client.since) = (ClientState::Lingering, self.now);
+        client.inbuf.clear();
+        self.agenda.add(self.now + LINGER_S, Due::Conn(key));
+        self.read_client(key);
+    }
+
+    fn conn_due(&mut self, key: ConnKey) {
+        match self.conns.get_mut(key) {
+            Some(Conn::Client(client)) => {
+                let limit = client.limit();
+                if self.now + 1e-4 < limit {
+                    if limit < f64::MAX {
+                        self.agenda.add(limit, Due::Conn(key));
+                    }
+                } else if client.state == ClientState::Reading && !client.idle() {
+                    let bytes = platform::error(408, "the request took too long to come", &[], true);
+                    self.respond(key, bytes, true);
+                } else {
+                    self.drop_conn(key);
+                }
+            }
+            Some(Conn::Leaf(leaf)) => {
+                if !leaf.up {
+                    return self.end_leaf(key, "never came up");
+                }
+                // Guards against a part lost on a connection that the other side is closing: ours goes first.
+                let limit = leaf.used_at + IDLE_SHARE * self.deployment.conn_idle_s;
+                if self.now + 1e-4 < limit {
+                    self.agenda.add(limit, Due::Conn(key));
+                } else if leaf.unused() {
+                    self.drop_conn(key);
+                } else {
+                    self.agenda.add(self.now + 0.5, Due::Conn(key));
+                }
+            }
+            Some(Conn::Discovery(conn)) if self.now + 1e-4 >= conn.due => {
+                self.end_discovery(key, "no answer in time");
+            }
+            Some(Conn::Discovery(_)) | None => {}
+        }
+    }
+
+    /// Forgets a connection. What was out on a connection to a replica must have been taken from it before.
+    fn drop_conn(&mut self, key: ConnKey) {
+        match self.conns.remove(key) {
+            Some(Conn::Client(_)) => self.clients -= 1,
+            Some(Conn::Leaf(leaf)) => {
+                self.leaves -= 1;
+                if let Some(member) = self.directory.member(leaf.replica) {
+                    member.conns.retain(|other| *other != key);
+                }
+            }
+            Some(Conn::Discovery(_)) => self.asking = None,
+            None => {}
+        }
+    }
+
+    // ---- replicas
+
+    /// Sends a call on a connection that takes it, or on a new one.
+    fn call(&mut self, replica: ReplicaId, mut parts: Vec<CallPart>) {
+        // What was given up since the core asked for it never leaves.
+        parts.retain(|part| self.core.is_out(part.attempt));
+        if parts.is_empty() {
+            return;
+        }
+        let (most, now) = (self.deployment.streams_per_conn, self.now);
+        let Some(member) = self.directory.member(replica) else { return self.unsent(&parts) };
+        let (address, speech) = (member.address, member.speech);
+        let conns = member.conns.clone();
+        let mut chosen: Option<(bool, ConnKey)> = None;
+        for key in &conns {
+            let Some(Conn::Leaf(leaf)) = self.conns.get_mut(*key) else { continue };
+            if Some(leaf.address) == address && leaf.takes(&parts, most, now) {
+                // One that is up is taken before one that is on its way.
+                if chosen.is_none_or(|(up, _)| leaf.up && !up) {
+                    chosen = Some((leaf.up, *key));
+                }
+            }
+        }
+        let key = match chosen {
+            Some((_, key)) => key,
+            None => {
+                let room = conns.len() < CONNS_A_REPLICA;
+                let opened = address.filter(|_| room).and_then(|to| self.open_leaf(replica, to, speech));
+                match opened {
+                    Some(key) => key,
+                    None => return self.unsent(&parts),
+                }
+            }
+        };
+        let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return };
+        for part in &parts {
+            self.flights.insert(part.attempt, key);
+        }
+        leaf.call(&parts, now);
+        if leaf.flush().is_err() {
+            self.end_leaf(key, "broke");
+        }
+    }
+
+    fn unsent(&mut self, parts: &[CallPart]) {
+        for part in parts {
+            self.core.ended(self.now, part.attempt, Outcome::ConnectFailed, None, &mut self.commands);
+        }
+    }
+
+    fn open_leaf(&mut self, replica: ReplicaId, to: SocketAddr, speech: leaf::Speech) -> Option<ConnKey> {
+        if self.leaves >= self.leaves_most {
+            // The connection unused for the longest makes room.
+            let unused = |(key, conn): (ConnKey, &Conn)| match conn {
+                Conn::Leaf(leaf) if leaf.unused() => Some((leaf.used_at, key)),
+                _ => None,
+            };
+            let oldest = self.conns.iter().filter_map(unused).min_by(|a, b| a.0.total_cmp(&b.0));
+            self.drop_conn(oldest?.1);
+        }
+        let stream = match TcpStream::connect(to) {
+            Ok(stream) => stream,
+            Err(error) => {
+                self.log(&format!("replica {replica:?}: {error}"));
+                return None;
+            }
+        };
+        let key =
+            self.conns.insert(Conn::Leaf(Box::new(LeafConn::new(stream, replica, to, speech, self.now))));
+        self.leaves += 1;
+        if let Some(member) = self.directory.member(replica) {
+            member.conns.push(key);
+        }
+        self.register(key);
+        self.agenda.add(self.now + self.deployment.connect_timeout_s, Due::Conn(key));
+        Some(key)
+    }
+
+    fn leaf_event(&mut self, key: ConnKey) {
+        let mut said: Vec<Said> = Vec::new();
+        let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return };
+        if !leaf.up {
+            match came_up(&leaf.stream) {
+                Ok(false) => return,
+                Ok(true) => {
+                    leaf.up = true;
+                    let _ = leaf.stream.set_nodelay(true);
+                    let limit = self.now + IDLE_SHARE * self.deployment.conn_idle_s;
+                    self.agenda.add(limit, Due::Conn(key));
+                }
+                Err(error) => return self.end_leaf(key, &error.to_string()),
+            }
+        }
+        let read = leaf.read(self.now, &mut said);
+        let flushed = leaf.flush();
+        for Said { attempt, outcome, value } in said {
+            self.flights.remove(attempt);
+            self.core.ended(self.now, attempt, outcome, value, &mut self.commands);
+        }
+        if let Err(error) = read.and(flushed) {
+            self.end_leaf(key, &error.to_string());
+        }
+    }
+
+    /// A connection to a replica is over: everything out on it has its outcome.
+    fn end_leaf(&mut self, key: ConnKey, why: &str) {
+        let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return };
+        let (replica, ends) = (leaf.replica, leaf.broken());
+        self.drop_conn(key);
+        if !ends.is_empty() {
+            let name = self.directory.member(replica).map_or(String::new(), |member| member.name.clone());
+            self.log(&format!("replica {name}: connection over ({why}), {} parts lost", ends.len()));
+        }
+        for (attempt, outcome) in ends {
+            self.flights.remove(attempt);
+            self.core.ended(self.now, attempt, outcome, None, &mut self.commands);
+        }
+    }
+
+    fn give_up(&mut self, attempt: AttemptKey) {
+        let Some(key) = self.flights.remove(attempt) else { return };
+        let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return };
+        if leaf.give_up(attempt) {
+            return self.drop_conn(key);
+        }
+        if leaf.flush().is_err() {
+            self.end_leaf(key, "broke");
+        }
+    }
+
+    fn close_idle(&mut self, replica: ReplicaId) {
+        let conns = self.directory.member(replica).map(|member| member.conns.clone()).unwrap_or_default();
+        for key in conns {
+            if matches!(self.conns.get(key), Some(Conn::Leaf(leaf)) if leaf.unused()) {
+                self.drop_conn(key);
+            }
+        }
+    }
+
+    // ---- discovery
+
+    /// Sends the next call, unless one is out.
+    fn ask(&mut self) {
+        let Some(address) = self.discovery else { return };
+        let key = match self.asking {
+            Some(key) => key,
+            None => match TcpStream::connect(address) {
+                Ok(stream) => {
+                    let key = self.conns.insert(Conn::Discovery(Box::new(DiscoveryConn::new(stream))));
+                    self.asking = Some(key);
+                    self.register(key);
+                    key
+                }
+                Err(error) => return self.list_failed(&error.to_string()),
+            },
+        };
+        let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) else { return };
+        if conn.due < f64::MAX {
+            return;
+        }
+        conn.out = discovery::call(&address.to_string(), self.revision);
+        conn.due = self.now + discovery::ANSWER_WITHIN_S;
+        self.agenda.add(conn.due, Due::Conn(key));
+        if conn.up {
+            self.discovery_event(key);
+        }
+    }
+
+    fn discovery_event(&mut self, key: ConnKey) {
+        let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) else { return };
+        if !conn.up {
+            match came_up(&conn.stream) {
+                Ok(false) => return,
+                Ok(true) => conn.up = true,
+                Err(error) => return self.end_discovery(key, &error.to_string()),
+            }
+        }
+        while !conn.out.is_empty() {
+            match conn.stream.write(&conn.out) {
+                Ok(count) => drop(conn.out.drain(..count)),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return self.end_discovery(key, &error.to_string()),
+            }
+        }
+        let mut buffer = [0; 16 * 1024];
+        let message = loop {
+            let (count, ended) = match conn.stream.read(&mut buffer) {
+                Ok(count) => (count, count == 0),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => return self.end_discovery(key, &error.to_string()),
+            };
+            conn.inbuf.extend_from_slice(&buffer[..count]);
+            match conn.reader.read(&mut conn.inbuf, ended) {
+                Ok(Some(message)) => break message,
+                Ok(None) if ended => return self.end_discovery(key, "closed"),
+                Ok(None) => {}
+                Err(error) => return self.end_discovery(key, &error.to_string()),
+            }
+        };
+        let list = discovery::answer(&message);
+        conn.due = f64::MAX;
+        if !message.keep_alive {
+            self.drop_conn(key);
+        }
+        match list {
+            Some(list) if self.take_list(&list) => self.ask(),
+            _ => self.end_discovery(key, "no list"),
+        }
+    }
+
+    fn end_discovery(&mut self, key: ConnKey, why: &str) {
+        self.drop_conn(key);
+        self.list_failed(why);
+    }
+
+    fn list_failed(&mut self, why: &str) {
+        self.log(&format!("discovery: call failed ({why})"));
+        self.core.list_failed(self.now, &mut self.commands);
+        if !self.deployment.policy.must_ask {
+            self.agenda.add(self.now + ASK_AGAIN_S, Due::Ask);
+        }
+    }
+
+    /// Takes a list; says whether it was one.
+    fn take_list(&mut self, list: &Value) -> bool {
+        let Some(list) = self.directory.read(list, &self.clock) else { return false };
+        self.revision = list.revision.or(self.revision);
+        let count = list.entries.len();
+        if count > 0 {
+            self.log(&format!("discovery: revision {:?}, {count} lines, full {}", self.revision, list.full));
+        }
+        self.core.list(self.now, list.full, list.entries, &mut self.commands);
+        // Nothing new may go to what drains or is gone, not even what still waits for its connection.
+        let unready: Vec<ConnKey> = self
+            .directory
+            .members()
+            .iter()
+            .filter(|member| !member.ready)
+            .flat_map(|member| member.conns.clone())
+            .collect();
+        for key in unready {
+            let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { continue };
+            for attempt in leaf.withdraw() {
+                self.flights.remove(attempt);
+                self.core.ended(self.now, attempt, Outcome::ConnectFailed, None, &mut self.commands);
+            }
+        }
+        if self.phase == Phase::Starting && self.directory.members().iter().any(|member| member.ready) {
+            self.phase = Phase::Serving;
+            self.log("ready: serving");
+        }
+        true
+    }
+}
+
+/// Whether a connection has come up; an error says why it never will.
+fn came_up(stream: &TcpStream) -> io::Result<bool> {
+    if let Some(error) = stream.take_error()? {
+        return Err(error);
+    }
+    match stream.peer_addr() {
+        Ok(_) => Ok(true),
+        Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
+        Err(error) => Err(error),
+    }
+}
--- /dev/null
+++ b/src/net/platform.rs
@@ -0,0 +1,185 @@
+//! The platform's front: its requests taken apart, its answers put together.
+//!
+//! This file owns the form of the platform's client protocol and nothing else. It must never hold a request
+//! or a socket, and never answer with a value that no replica gave.
+
+use super::http::{self, Message, Start};
+use crate::core::{Asked, AskedPart, Figures, Final, Style, Why};
+use crate::settings::Deployment;
+use miniserde::{json, Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// Longest id, key or other word of a client that is passed on.
+const WORD_MOST: usize = 200;
+
+#[derive(Deserialize)]
+struct QueryJson {
+    tablets: Vec<TabletJson>,
+    statement: String,
+}
+
+#[derive(Deserialize)]
+struct TabletJson {
+    tablet: u32,
+    fraction: f64,
+    guess: Option<f64>,
+}
+
+#[derive(Serialize)]
+struct AnswerJson {
+    full: bool,
+    pieces: Vec<PieceJson>,
+}
+
+#[derive(Serialize)]
+struct PieceJson {
+    tablet: u32,
+    cell: String,
+}
+
+#[derive(Serialize)]
+struct ErrorJson<'a> {
+    error: &'a str,
+}
+
+/// What a request turns out to be.
+pub enum Request {
+    /// A query for the core.
+    Query(Asked),
+    /// Is the mixer ready?
+    Ready,
+    /// Is it alive?
+    Healthy,
+    /// How did requests fare?
+    Figures,
+    /// Something that gets an error: its status and a word of why.
+    Bad(u16, &'static str),
+}
+
+/// A word that may stand in a line of a frame.
+pub fn is_word(text: &str) -> bool {
+    !text.is_empty() && text.len() <= WORD_MOST && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
+/// Reads a request.
+pub fn request(message: &Message, deployment: &Deployment) -> Request {
+    let Start::Request { method, target } = &message.start else { return Request::Bad(400, "not a request") };
+    let path = target.split('?').next().unwrap_or_default();
+    match (method.as_str(), path) {
+        ("GET" | "HEAD", "/-/ready") => Request::Ready,
+        ("GET" | "HEAD", "/-/healthy") => Request::Healthy,
+        ("GET" | "HEAD", "/-/figures") => Request::Figures,
+        ("POST", _) => {
+            query(message, path, deployment).map_or_else(|(s, why)| Request::Bad(s, why), Request::Query)
+        }
+        _ if path.starts_with("/-/") => Request::Bad(404, "no such page"),
+        _ => Request::Bad(405, "queries are POST requests"),
+    }
+}
+
+fn query(message: &Message, path: &str, deployment: &Deployment) -> Result<Asked, (u16, &'static str)> {
+    let bad = |why: &'static str| (400, why);
+    let first = path.strip_prefix('/').unwrap_or(path).split('/').next().unwrap_or_default();
+    let class = message.header("x-priority-class").unwrap_or(first);
+    if class != first {
+        return Err(bad("the path and X-Priority-Class name different classes"));
+    }
+    let class = deployment.classes.iter().position(|name| name == class).ok_or((404, "unknown class"))?;
+    let settings = &deployment.policy.classes[class];
+    let id = message.header("x-request-id").filter(|id| is_word(id)).ok_or(bad("X-Request-ID"))?;
+    let tenant = match message.header("x-tenant-id") {
+        Some(name) => deployment.tenants.iter().position(|known| known == name),
+        None => None,
+    };
+    let tenant = match tenant {
+        Some(place) => place as u32,
+        None if deployment.tenants.is_empty() => 0,
+        None => return Err(bad("X-Tenant-Id names no tenant")),
+    };
+    let wait_s = match message.header("x-timeout-ms") {
+        None => settings.deadline_s,
+        Some(text) => f64::from(text.parse::<u32>().map_err(|_| bad("X-Timeout-Ms"))?) / 1000.0,
+    };
+    let idempotency = match message.header("idempotency-key") {
+        Some(key) if is_word(key) && !key.contains(',') => Some(key.to_string()),
+        Some(_) => return Err(bad("Idempotency-Key")),
+        None => None,
+    };
+    let keyed = settings.effect == crate::api::Effect::Keyed;
+    if keyed && idempotency.is_none() {
+        return Err(bad("this class needs an Idempotency-Key"));
+    }
+    let body = std::str::from_utf8(&message.body).map_err(|_| bad("the body is not UTF-8"))?;
+    let body: QueryJson = json::from_str(body).map_err(|_| bad("the body has not the form of a query"))?;
+    let mut shards = BTreeSet::new();
+    let mut parts = Vec::new();
+    for part in &body.tablets {
+        let sound = part.fraction.is_finite() && part.fraction >= 0.0 && part.tablet < deployment.shards;
+        if !sound || !shards.insert(part.tablet) {
+            return Err(bad("a tablet that is unknown, doubled or without a sound fraction"));
+        }
+        let hint_s = part.guess.filter(|guess| guess.is_finite() && *guess > 0.0).map(|guess| guess * 1e-6);
+        parts.push(AskedPart { shard: part.tablet, weight: part.fraction, hint_s });
+    }
+    if parts.is_empty() {
+        return Err(bad("a query without tablets"));
+    }
+    Ok(Asked {
+        id: id.to_string(),
+        style: Style::Platform,
+        class,
+        tenant,
+        key: message.header("x-route-key").map_or(0, route_key),
+        repeat: message.header("x-retried") == Some("1"),
+        wait_s,
+        idempotency: idempotency.filter(|_| keyed),
+        text: body.statement,
+        whole_only: false,
+        parts,
+    })
+}
+
+/// A key as the module knows it: 16 hex digits as they are, anything else by its hash (FNV-1a).
+pub fn route_key(text: &str) -> u64 {
+    let hash = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| text.bytes().fold(0xcbf2_9ce4_8422_2325, hash))
+}
+
+/// An error in the platform's form.
+pub fn error(status: u16, why: &str, headers: &[(&str, String)], close: bool) -> Vec<u8> {
+    http::response(status, headers, &json::to_string(&ErrorJson { error: why }), close)
+}
+
+/// The final answer in the platform's form.
+pub fn answer(asked: &Asked, last: Final, close: bool) -> Vec<u8> {
+    match last {
+        Final::Answered { whole, values } => {
+            let piece = |(part, value): (&AskedPart, &Option<std::rc::Rc<str>>)| {
+                Some(PieceJson { tablet: part.shard, cell: value.as_ref()?.to_string() })
+            };
+            let pieces = asked.parts.iter().zip(&values).filter_map(piece).collect();
+            http::response(200, &[], &json::to_string(&AnswerJson { full: whole, pieces }), close)
+        }
+        Final::Refused { why, retry_after_s } => {
+            let advice = (retry_after_s > 0.0).then(|| ("Retry-After", http::seconds(retry_after_s)));
+            let status = if why == Why::Held { 503 } else { 429 };
+            error(status, "refused: asking again does no harm", advice.as_slice(), close)
+        }
+        Final::Failed { why, .. } => match why {
+            Why::TimeUp => error(504, "the time ran out", &[], close),
+            _ => error(502, "given up: parts of it may have run", &[], close),
+        },
+    }
+}
+
+/// The page of figures.
+pub fn figures(each: &[(&str, Figures)]) -> String {
+    let one = |(name, f): &(&str, Figures)| {
+        format!(
+            "\"{name}\":{{\"asked\":{},\"whole\":{},\"partial\":{},\"in_aim\":{},\"refused\":{},\"failed\":{},\
+             \"left\":{},\"attempts\":{}}}",
+            f.asked, f.whole, f.partial, f.in_aim, f.refused, f.failed, f.left, f.attempts
+        )
+    };
+    format!("{{{}}}", each.iter().map(one).collect::<Vec<_>>().join(","))
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,8 @@
 //! needs a setting takes it from [`Deployment`], and a second type for the same keys is a fault.
 
 use crate::api::*;
+use crate::net::Options;
+use miniserde::json::Value;
 use miniserde::Deserialize;
 use thiserror::Error;
 
@@ -269,3 +271,72 @@
         })
     }
 }
+
+/// The configuration of a real mixer, as `LB_CONFIG` holds it.
+#[derive(Deserialize)]
+struct ConfigJson {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    limits: Option<LimitsJson>,
+    known: Option<Value>,
+    settings: Setup,
+}
+
+#[derive(Default, Deserialize)]
+struct LimitsJson {
+    sockets: Option<f64>,
+}
+
+/// The configuration of a real mixer.
+pub struct Config {
+    json: ConfigJson,
+}
+
+impl Config {
+    /// Reads it from JSON text.
+    pub fn decode(text: &[u8]) -> Result<Config, SettingsError> {
+        let text = std::str::from_utf8(text)?;
+        let json = miniserde::json::from_str(text).map_err(|_| SettingsError::NotJson)?;
+        Ok(Config { json })
+    }
+
+    /// What the environment says comes before what the file says.
+    pub fn override_by(&mut self, variable: impl Fn(&str) -> Option<String>) -> Result<(), SettingsError> {
+        self.json.name = variable("LB_NAME").or(self.json.name.take());
+        self.json.listen = variable("LB_LISTEN").or(self.json.listen.take());
+        self.json.discovery = variable("LB_DISCOVERY").or(self.json.discovery.take());
+        Ok(())
+    }
+
+    /// A line on what it says.
+    pub fn summary(&self) -> String {
+        let or = |text: &Option<String>, other: &str| text.as_deref().unwrap_or(other).to_string();
+        let json = &self.json;
+        format!(
+            "{} listens on {}, discovery {}",
+            or(&json.name, "a mixer"),
+            or(&json.listen, "?"),
+            or(&json.discovery, "none")
+        )
+    }
+
+    /// What the mixer is started with.
+    pub fn options(self) -> Result<Options, SettingsError> {
+        let json = self.json;
+        let address = |text: &str, what: &str| {
+            text.parse().map_err(|_| SettingsError::Senseless(format!("{what} is no address: {text:?}")))
+        };
+        let seed = json.seed.as_deref().unwrap_or_default();
+        Ok(Options {
+            name: json.name.unwrap_or_else(|| "wharfhub".into()),
+            listen: address(&json.listen.ok_or(SettingsError::Missing("listen"))?, "listen")?,
+            discovery: json.discovery.map(|text| address(&text, "discovery")).transpose()?,
+            seed: u64::from_str_radix(seed, 16).unwrap_or(0x5eed),
+            sockets: json.limits.unwrap_or_default().sockets.map_or(1024, |sockets| sockets as usize),
+            known: json.known,
+            deployment: json.settings.deployment()?,
+        })
+    }
+}
