Add the OpenSearch-style front and stock boxes that speak it, on the same core

Ruled out on the way: a retry that seemed late in outcomes.txt was a second copy; the script had the boxes swapped.

--- a/src/core.rs
+++ b/src/core.rs
@@ -45,6 +45,10 @@
     pub style: Style,
     /// Its class, by place in the settings.
     pub class: usize,
+    /// The name of its class.
+    pub class_name: String,
+    /// What the client wants to find it by later.
+    pub opaque: Option<String>,
     /// Its tenant, by place in the settings.
     pub tenant: u32,
     /// What it concerns; 0 for nothing in particular.
@@ -98,6 +102,8 @@
         whole: bool,
         /// The value of each part, in the order asked; none where it is not in.
         values: Vec<Option<Rc<str>>>,
+        /// Each part's last outcome, likewise; none where nothing was sent or came back.
+        outcomes: Vec<Option<Outcome>>,
     },
     /// Turned away: asking again does no harm.
     Refused {
@@ -527,7 +533,7 @@
         } else if request.asked.whole_only && !whole {
             Final::Failed { why: Why::NotWhole, outcomes: outcomes() }
         } else {
-            Final::Answered { whole, values: request.values.clone() }
+            Final::Answered { whole, values: request.values.clone(), outcomes: outcomes() }
         };
         self.finish(now, key, last, out);
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -33,6 +33,8 @@
     pub speech: Speech,
     /// Whether something new may go there.
     pub ready: bool,
+    /// The load report that came last, as the replica words it.
+    pub load: Option<String>,
     /// The connections to it.
     pub conns: Vec<ConnKey>,
 }
--- a/src/net/leaf.rs
+++ b/src/net/leaf.rs
@@ -67,7 +67,10 @@
     pub up: bool,
     /// When it was last used.
     pub used_at: f64,
+    /// The load report that came last, as the replica words it.
+    pub load: Option<String>,
     speech: Speech,
+    shards: u32,
     reader: Reader,
     frames: VecDeque<Frame>,
     sent: usize, // bytes of the first frame that have left
@@ -102,11 +105,12 @@
     frame(b'q', &rest)
 }
 
-/// An answer frame taken apart: id, outcome, value. None where it has not the form of one.
-fn answer(rest: &[u8]) -> Option<(&str, Outcome, &str)> {
+/// An answer frame taken apart: id, outcome, value, load report. None where it has not the form of one.
+fn answer(rest: &[u8]) -> Option<(&str, Outcome, &str, Option<&str>)> {
     let end = rest.iter().position(|byte| *byte == b'\n')?;
     let mut words = std::str::from_utf8(&rest[..end]).ok()?.split(' ');
     let (id, outcome) = (words.next()?, words.next()?);
+    let load = words.nth(1).filter(|load| *load != "-");
     let value = std::str::from_utf8(&rest[end + 1..]);
     let outcome = match (outcome, value.is_ok()) {
         ("served", true) => Outcome::Ok,
@@ -114,7 +118,7 @@
         // What is served but can't be passed on is an error; so is any word that we don't know.
         _ => Outcome::Error,
     };
-    Some((id, outcome, value.unwrap_or_default()))
+    Some((id, outcome, value.unwrap_or_default(), load))
 }
 
 impl LeafConn {
@@ -124,6 +128,7 @@
         replica: ReplicaId,
         address: SocketAddr,
         speech: Speech,
+        shards: u32,
         now: f64,
     ) -> LeafConn {
         LeafConn {
@@ -132,7 +137,9 @@
             address,
             up: false,
             used_at: now,
+            load: None,
             speech,
+            shards,
             reader: Reader::responses(FRAME_MOST),
             frames: VecDeque::new(),
             sent: 0,
@@ -168,7 +175,11 @@
     pub fn call(&mut self, parts: &[CallPart], now: f64) {
         let bytes = match self.speech {
             Speech::Frames => call(parts),
-            Speech::Search => opensearch::leaf_request(parts),
+            Speech::Search => {
+                let requests =
+                    parts.iter().map(|part| opensearch::leaf_request(part, self.address, self.shards));
+                requests.collect::<Vec<_>>().concat()
+            }
         };
         for part in parts {
             self.streams.push(Stream {
@@ -276,7 +287,8 @@
                     return Err(io::Error::other("an answer to nothing"));
                 };
                 self.used_at = now;
-                let (outcome, value) = opensearch::leaf_answer(&message);
+                let (outcome, value, load) = opensearch::leaf_answer(&message);
+                self.load = load.or(self.load.take());
                 said.extend(stream.attempt.map(|attempt| Said { attempt, outcome, value }));
                 if message.keep_alive {
                     Ok(())
@@ -299,7 +311,10 @@
             match letter {
                 b'a' => {
                     let form = || io::Error::other("an answer without form");
-                    let (id, outcome, value) = answer(rest).ok_or_else(form)?;
+                    let (id, outcome, value, load) = answer(rest).ok_or_else(form)?;
+                    if let Some(load) = load.filter(|load| load.len() <= 200) {
+                        self.load = Some(load.to_string());
+                    }
                     // An answer to nothing that is out here is passed over.
                     if let Some(place) = self.streams.iter().position(|stream| stream.id == id) {
                         let stream = self.streams.remove(place);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,11 +12,11 @@
 pub mod platform;
 
 use crate::api::{Outcome, ReplicaId};
-use crate::core::{AttemptKey, CallPart, Command, Core, RequestKey, Style, Wake};
+use crate::core::{Asked, AttemptKey, CallPart, Command, Core, RequestKey, Style, Wake};
 use crate::settings::Deployment;
 use discovery::{Directory, DiscoveryConn};
-use http::{HttpError, Message, Reader};
-use leaf::{LeafConn, Said};
+use http::{HttpError, Message, Reader, Start};
+use leaf::{LeafConn, Said, Speech};
 use miniserde::json::Value;
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Token};
@@ -34,8 +34,6 @@
 const REQUEST_S: f64 = 10.0;
 const IDLE_S: f64 = 120.0;
 const LINGER_S: f64 = 1.0;
-/// After SIGTERM clients are served for so long before the listener closes (seconds).
-const DRAIN_S: f64 = 0.7;
 /// What exits must wait for a last answer to be read, at most (seconds).
 const LAST_LINGER_S: f64 = 0.2;
 /// Connections to one replica, at most.
@@ -53,8 +51,9 @@
 /// The clock starts here, so that a replica's start before ours is still a time after 0 (seconds).
 const CLOCK_START_S: f64 = 1e6;
 
-const LISTENER: Token = Token(0);
-const SIGNALS: Token = Token(1);
+const LISTENERS: [Token; 2] = [Token(0), Token(1)]; // by style
+const SIGNALS: Token = Token(2);
+const STYLES: [Style; 2] = [Style::Platform, Style::Search];
 
 slotmap::new_key_type! {
     /// A connection in the table.
@@ -87,6 +86,10 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where clients of the search API connect, where that front is on.
+    pub search: Option<SocketAddr>,
+    /// The tenant of its clients that name none.
+    pub search_tenant: Option<String>,
     /// Discovery, where there is one.
     pub discovery: Option<SocketAddr>,
     /// For random numbers.
@@ -95,6 +98,8 @@
     pub sockets: usize,
     /// The list of replicas as last known.
     pub known: Option<Value>,
+    /// After SIGTERM clients are served for so long before the listeners close (seconds).
+    pub drain_s: f64,
     /// The settings.
     pub deployment: Deployment,
 }
@@ -194,6 +199,8 @@
 
 struct Client {
     stream: TcpStream,
+    style: Style,
+    context: Option<opensearch::Context>, // of the request that is held
     state: ClientState,
     reader: Reader,
     inbuf: Vec<u8>,
@@ -229,7 +236,8 @@
 /// The mixer on its sockets.
 pub struct Mixer {
     poll: Poll,
-    listener: Option<TcpListener>,
+    name: String,
+    listeners: [Option<TcpListener>; 2], // by style
     signals: UnixStream,
     conns: SlotMap<ConnKey, Conn>,
     flights: SecondaryMap<AttemptKey, ConnKey>, // where each attempt is out
@@ -250,15 +258,23 @@
     leaves: usize,
     leaves_most: usize,
     lines: (f64, u32),
+    search_tenant: Option<String>,
+    last_search: u64,
+    drain_s: f64,
 }
 
 impl Mixer {
     /// Opens the listener and all that the loop needs. `stop` becomes readable when the program is to end.
     pub fn new(options: Options, stop: std::os::unix::net::UnixStream) -> Result<Mixer, NetError> {
         let poll = Poll::new()?;
-        let address = options.listen;
-        let mut listener = TcpListener::bind(address).map_err(|error| NetError::Listen { address, error })?;
-        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        let listen = |address: SocketAddr, style: Style| {
+            let mut listener =
+                TcpListener::bind(address).map_err(|error| NetError::Listen { address, error })?;
+            poll.registry().register(&mut listener, LISTENERS[style as usize], Interest::READABLE)?;
+            Ok::<_, NetError>(listener)
+        };
+        let search = options.search.map(|address| listen(address, Style::Search)).transpose()?;
+        let listeners = [Some(listen(options.listen, Style::Platform)?), search];
         stop.set_nonblocking(true)?;
         let mut signals = UnixStream::from_std(stop);
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
@@ -270,7 +286,8 @@
         let leaves_most = (usable / 3).max(4);
         let mut mixer = Mixer {
             poll,
-            listener: Some(listener),
+            name: options.name,
+            listeners,
             signals,
             conns: SlotMap::with_key(),
             flights: SecondaryMap::new(),
@@ -291,9 +308,16 @@
             leaves: 0,
             leaves_most,
             lines: (now, 0),
+            search_tenant: options.search_tenant,
+            last_search: 0,
+            drain_s: options.drain_s,
         };
-        let listening = mixer.listener.as_ref().map_or(Ok(address), TcpListener::local_addr)?;
-        mixer.log(&format!("start: {} listens on {listening}", options.name));
+        for (style, what) in STYLES.into_iter().zip(["", ", search API"]) {
+            if let Some(address) = mixer.listeners[style as usize].as_ref().map(TcpListener::local_addr) {
+                let line = format!("start: {} listens on {}{what}", mixer.name, address?);
+                mixer.log(&line);
+            }
+        }
         if let Some(known) = &options.known {
             mixer.take_list(known);
         }
@@ -316,7 +340,7 @@
             self.now = self.clock.now();
             for event in &events {
                 match event.token() {
-                    LISTENER => self.accept(),
+                    Token(style) if style < STYLES.len() => self.accept(STYLES[style]),
                     SIGNALS => self.stop_asked(),
                     Token(key) => {
                         let key = ConnKey::from(KeyData::from_ffi(key as u64));
@@ -357,10 +381,15 @@
                 match command {
                     Command::Call { replica, parts } => self.call(replica, parts),
                     Command::GiveUp { attempt } => self.give_up(attempt),
-                    Command::Reply { caller, last, asked, .. } => {
+                    Command::Reply { caller, last, asked, took_s } => {
                         let key = ConnKey::from(KeyData::from_ffi(caller));
                         let close = self.closes();
-                        let bytes = platform::answer(&asked, last, close);
+                        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { continue };
+                        let close = close || client.close;
+                        let bytes = match client.context.take() {
+                            Some(context) => opensearch::answer(&context, &asked, last, took_s, close),
+                            None => platform::answer(&asked, last, close),
+                        };
                         self.respond(key, bytes, close);
                     }
                     Command::WakeAt { at, wake } => self.agenda.add(at, Due::Core(wake)),
@@ -376,7 +405,7 @@
         match due {
             Due::Core(wake) => self.core.wake(self.now, wake, &mut self.commands),
             Due::Conn(key) => self.conn_due(key),
-            Due::Accept => self.accept(),
+            Due::Accept => STYLES.into_iter().for_each(|style| self.accept(style)),
             Due::Ask => self.ask(),
             Due::Phase => {
                 if let Phase::Draining { .. } = self.phase {
@@ -396,7 +425,7 @@
         let mut buffer = [0; 64];
         while matches!(self.signals.read(&mut buffer), Ok(count) if count > 0) {}
         if matches!(self.phase, Phase::Starting | Phase::Serving) {
-            let until = self.now + DRAIN_S;
+            let until = self.now + self.drain_s;
             self.phase = Phase::Draining { until };
             self.agenda.add(until, Due::Phase);
             self.log("drain: told to end; unready, still serving");
@@ -406,8 +435,8 @@
     /// Empties the accept queue, closes the listener and sends idle clients away. What a client wrote to a
     /// connection that was accepted counts as taken, so each is read once more first.
     fn close_listener(&mut self) {
-        self.accept();
-        self.listener = None;
+        STYLES.into_iter().for_each(|style| self.accept(style));
+        self.listeners = [None, None];
         let longest = self.deployment.policy.classes.iter().map(|class| class.deadline_s);
         let until = self.now + longest.fold(3.0, f64::max);
         self.phase = Phase::Closing { until };
@@ -448,15 +477,15 @@
 
     // ---- clients
 
-    fn accept(&mut self) {
+    fn accept(&mut self, style: Style) {
         loop {
-            let Some(listener) = &self.listener else { return };
+            let Some(listener) = &self.listeners[style as usize] else { return };
             match listener.accept() {
                 Ok((stream, _)) => {
                     if self.clients >= self.clients_most {
                         self.evict();
                     }
-                    self.take_client(stream);
+                    self.take_client(stream, style);
                 }
                 Err(error) => match error.kind() {
                     io::ErrorKind::WouldBlock => return,
@@ -473,10 +502,12 @@
         }
     }
 
-    fn take_client(&mut self, stream: TcpStream) {
+    fn take_client(&mut self, stream: TcpStream, style: Style) {
         let _ = stream.set_nodelay(true);
         let client = Client {
             stream,
+            style,
+            context: None,
             state: ClientState::Reading,
             reader: Reader::requests(BODY_MOST),
             inbuf: Vec::new(),
@@ -590,7 +621,10 @@
     }
 
     fn malformed(&mut self, key: ConnKey, error: HttpError) {
-        let bytes = platform::error(error.status(), &error.to_string(), &[], true);
+        let bytes = match self.conns.get(key) {
+            Some(Conn::Client(client)) if client.style == Style::Search => opensearch::malformed(error),
+            _ => platform::error(error.status(), &error.to_string(), &[], true),
+        };
         self.respond(key, bytes, true);
     }
 
@@ -598,35 +632,62 @@
         let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
         client.close = !message.keep_alive;
         client.told_to_go_on = false;
-        let close = client.close || self.closes();
+        if client.style == Style::Search {
+            return self.take_search(key, &message);
+        }
         match platform::request(&message, &self.deployment) {
-            platform::Request::Query(asked) => {
-                let caller = key.data().as_ffi();
-                // Held from here on; the answer may be among the commands already.
-                let request = self.core.take(self.now, asked, caller, &mut self.commands);
-                if let Some(Conn::Client(client)) = self.conns.get_mut(key) {
-                    (client.state, client.since) = (ClientState::Held(request), self.now);
-                }
-            }
-            platform::Request::Ready => {
-                let (status, body) = match self.phase {
-                    Phase::Serving => (200, "{\"ready\":true}"),
-                    _ => (503, "{\"ready\":false}"),
-                };
-                self.respond(key, http::response(status, &[], body, close), close);
-            }
-            platform::Request::Healthy => self.respond(key, http::response(200, &[], "{}", close), close),
-            platform::Request::Figures => {
-                let each = [("platform", Style::Platform), ("search", Style::Search)];
-                let body = platform::figures(&each.map(|(name, style)| (name, self.core.figures(style))));
-                self.respond(key, http::response(200, &[], &body, close), close);
-            }
+            platform::Request::Query(asked) => self.hold(key, asked, None),
+            platform::Request::Page => self.page(key, &message),
             platform::Request::Bad(status, why) => {
                 self.respond(key, platform::error(status, why, &[], true), true);
             }
         }
     }
 
+    fn take_search(&mut self, key: ConnKey, message: &Message) {
+        self.last_search += 1;
+        // Unlike any other, over restarts too: boxes know a part by it.
+        let id = format!("s{:x}-{:x}", self.clock.wall_ms as u64, self.last_search);
+        match opensearch::request(message, &self.deployment, id, self.search_tenant.as_deref()) {
+            Ok(opensearch::Request::Query(asked, context)) => self.hold(key, *asked, Some(context)),
+            Ok(opensearch::Request::Page) => self.page(key, message),
+            Ok(opensearch::Request::Root) => {
+                let close = self.closes() || !message.keep_alive;
+                self.respond(key, opensearch::root(&self.name, close), close);
+            }
+            Err(fault) => {
+                let close = self.closes() || !message.keep_alive;
+                self.respond(key, opensearch::refuse(&fault, message.header("x-opaque-id"), close), close);
+            }
+        }
+    }
+
+    /// Hands a request to the core. Held from here on; its answer may be among the commands already.
+    fn hold(&mut self, key: ConnKey, asked: Asked, context: Option<opensearch::Context>) {
+        let request = self.core.take(self.now, asked, key.data().as_ffi(), &mut self.commands);
+        if let Some(Conn::Client(client)) = self.conns.get_mut(key) {
+            (client.state, client.since, client.context) = (ClientState::Held(request), self.now, context);
+        }
+    }
+
+    /// The pages for those who run the mixer and for what stands before it.
+    fn page(&mut self, key: ConnKey, message: &Message) {
+        let Start::Request { target, .. } = &message.start else { return };
+        let (status, body) = match target.split('?').next().unwrap_or_default() {
+            "/-/ready" if self.phase == Phase::Serving => (200, "{\"ready\":true}".to_string()),
+            "/-/ready" => (503, "{\"ready\":false}".to_string()),
+            "/-/healthy" => (200, "{}".to_string()),
+            "/-/figures" => {
+                let each = [("platform", Style::Platform), ("search", Style::Search)];
+                (200, platform::figures(&each.map(|(name, style)| (name, self.core.figures(style)))))
+            }
+            "/-/members" => (200, platform::members(self.directory.members())),
+            _ => (404, "{\"error\":\"no such page\"}".to_string()),
+        };
+        let close = self.closes() || !message.keep_alive;
+        self.respond(key, http::response(status, &[], &body, close), close);
+    }
+
     /// Begins to write an answer. A client that has gone in the meantime gets none.
     fn respond(&mut self, key: ConnKey, bytes: Vec<u8>, close: bool) {
         let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
@@ -675,7 +736,12 @@
                         self.agenda.add(limit, Due::Conn(key));
                     }
                 } else if client.state == ClientState::Reading && !client.idle() {
-                    let bytes = platform::error(408, "the request took too long to come", &[], true);
+                    let bytes = match client.style {
+                        Style::Platform => {
+                            platform::error(408, "the request took too long to come", &[], true)
+                        }
+                        Style::Search => opensearch::too_slow(),
+                    };
                     self.respond(key, bytes, true);
                 } else {
                     self.drop_conn(key);
@@ -729,6 +795,10 @@
         let (most, now) = (self.deployment.streams_per_conn, self.now);
         let Some(member) = self.directory.member(replica) else { return self.unsent(&parts) };
         let (address, speech) = (member.address, member.speech);
+        if speech == Speech::Search && parts.len() > 1 {
+            // HTTP/1.1 has no call of several parts.
+            return parts.into_iter().for_each(|part| self.call(replica, vec![part]));
+        }
         let conns = member.conns.clone();
         let mut chosen: Option<(bool, ConnKey)> = None;
         for key in &conns {
@@ -743,7 +813,8 @@
         let key = match chosen {
             Some((_, key)) => key,
             None => {
-                let room = conns.len() < CONNS_A_REPLICA;
+                let most = if speech == Speech::Search { most } else { CONNS_A_REPLICA };
+                let room = conns.len() < most;
                 let opened = address.filter(|_| room).and_then(|to| self.open_leaf(replica, to, speech));
                 match opened {
                     Some(key) => key,
@@ -767,7 +838,7 @@
         }
     }
 
-    fn open_leaf(&mut self, replica: ReplicaId, to: SocketAddr, speech: leaf::Speech) -> Option<ConnKey> {
+    fn open_leaf(&mut self, replica: ReplicaId, to: SocketAddr, speech: Speech) -> Option<ConnKey> {
         if self.leaves >= self.leaves_most {
             // The connection unused for the longest makes room.
             let unused = |(key, conn): (ConnKey, &Conn)| match conn {
@@ -784,8 +855,14 @@
                 return None;
             }
         };
-        let key =
-            self.conns.insert(Conn::Leaf(Box::new(LeafConn::new(stream, replica, to, speech, self.now))));
+        let key = self.conns.insert(Conn::Leaf(Box::new(LeafConn::new(
+            stream,
+            replica,
+            to,
+            speech,
+            self.deployment.shards,
+            self.now,
+        ))));
         self.leaves += 1;
         if let Some(member) = self.directory.member(replica) {
             member.conns.push(key);
@@ -812,6 +889,10 @@
         }
         let read = leaf.read(self.now, &mut said);
         let flushed = leaf.flush();
+        let (replica, load) = (leaf.replica, leaf.load.take());
+        if let Some(member) = self.directory.member(replica) {
+            member.load = load.or(member.load.take());
+        }
         for Said { attempt, outcome, value } in said {
             self.flights.remove(attempt);
             self.core.ended(self.now, attempt, outcome, value, &mut self.commands);
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -3,6 +3,7 @@
 //! This file owns the form of the platform's client protocol and nothing else. It must never hold a request
 //! or a socket, and never answer with a value that no replica gave.
 
+use super::discovery::Member;
 use super::http::{self, Message, Start};
 use crate::core::{Asked, AskedPart, Figures, Final, Style, Why};
 use crate::settings::Deployment;
@@ -37,6 +38,15 @@
     cell: String,
 }
 
+#[derive(Serialize)]
+struct MemberJson {
+    id: String,
+    address: Option<String>,
+    ready: bool,
+    connections: usize,
+    load: Option<String>,
+}
+
 #[derive(Serialize)]
 struct ErrorJson<'a> {
     error: &'a str,
@@ -46,12 +56,8 @@
 pub enum Request {
     /// A query for the core.
     Query(Asked),
-    /// Is the mixer ready?
-    Ready,
-    /// Is it alive?
-    Healthy,
-    /// How did requests fare?
-    Figures,
+    /// One of the pages that every front has.
+    Page,
     /// Something that gets an error: its status and a word of why.
     Bad(u16, &'static str),
 }
@@ -66,13 +72,10 @@
     let Start::Request { method, target } = &message.start else { return Request::Bad(400, "not a request") };
     let path = target.split('?').next().unwrap_or_default();
     match (method.as_str(), path) {
-        ("GET" | "HEAD", "/-/ready") => Request::Ready,
-        ("GET" | "HEAD", "/-/healthy") => Request::Healthy,
-        ("GET" | "HEAD", "/-/figures") => Request::Figures,
+        ("GET", _) if path.starts_with("/-/") => Request::Page,
         ("POST", _) => {
             query(message, path, deployment).map_or_else(|(s, why)| Request::Bad(s, why), Request::Query)
         }
-        _ if path.starts_with("/-/") => Request::Bad(404, "no such page"),
         _ => Request::Bad(405, "queries are POST requests"),
     }
 }
@@ -128,6 +131,8 @@
         id: id.to_string(),
         style: Style::Platform,
         class,
+        class_name: first.to_string(),
+        opaque: None,
         tenant,
         key: message.header("x-route-key").map_or(0, route_key),
         repeat: message.header("x-retried") == Some("1"),
@@ -153,7 +158,7 @@
 /// The final answer in the platform's form.
 pub fn answer(asked: &Asked, last: Final, close: bool) -> Vec<u8> {
     match last {
-        Final::Answered { whole, values } => {
+        Final::Answered { whole, values, .. } => {
             let piece = |(part, value): (&AskedPart, &Option<std::rc::Rc<str>>)| {
                 Some(PieceJson { tablet: part.shard, cell: value.as_ref()?.to_string() })
             };
@@ -183,3 +188,15 @@
     };
     format!("{{{}}}", each.iter().map(one).collect::<Vec<_>>().join(","))
 }
+
+/// The page of replicas: where each is, whether something new may go there, and its last load report.
+pub fn members(members: &[Member]) -> String {
+    let one = |member: &Member| MemberJson {
+        id: member.name.clone(),
+        address: member.address.map(|address| address.to_string()),
+        ready: member.ready,
+        connections: member.conns.len(),
+        load: member.load.clone(),
+    };
+    json::to_string(&members.iter().map(one).collect::<Vec<_>>())
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,9 @@
 use miniserde::Deserialize;
 use thiserror::Error;
 
+/// After SIGTERM clients are served for so long before the listeners close, where nothing else is set (seconds).
+const DRAIN_S: f64 = 0.7;
+
 /// Why settings could not be used.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -278,12 +281,21 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    search: Option<SearchJson>,
     seed: Option<String>,
     limits: Option<LimitsJson>,
     known: Option<Value>,
+    drain_s: Option<f64>,
     settings: Setup,
 }
 
+/// The front for the search API; it is off where this is missing.
+#[derive(Deserialize)]
+struct SearchJson {
+    listen: String,
+    tenant: Option<String>,
+}
+
 #[derive(Default, Deserialize)]
 struct LimitsJson {
     sockets: Option<f64>,
@@ -332,10 +344,17 @@
         Ok(Options {
             name: json.name.unwrap_or_else(|| "wharfhub".into()),
             listen: address(&json.listen.ok_or(SettingsError::Missing("listen"))?, "listen")?,
+            search: json
+                .search
+                .as_ref()
+                .map(|search| address(&search.listen, "search.listen"))
+                .transpose()?,
+            search_tenant: json.search.and_then(|search| search.tenant),
             discovery: json.discovery.map(|text| address(&text, "discovery")).transpose()?,
             seed: u64::from_str_radix(seed, 16).unwrap_or(0x5eed),
             sockets: json.limits.unwrap_or_default().sockets.map_or(1024, |sockets| sockets as usize),
             known: json.known,
+            drain_s: json.drain_s.filter(|time| *time >= 0.0).unwrap_or(DRAIN_S),
             deployment: json.settings.deployment()?,
         })
     }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -5,9 +5,12 @@
 //!
 //! - `leaf NAME CELL [opensearch]`: a stock box that listens; `box NAME CELL` one that nobody listens for.
 //! - `discovery`: a discovery that the script plays under that name. `set KEY JSON`: a key of the configuration.
+//!   `edit OLD => NEW`: another value in the settings.
 //! - `start`: the program starts, knowing the boxes so far. `log TEXT`: waits until it has logged that.
 //! - `WHO > TEXT`, `WHO < TEXT`: bytes sent, bytes awaited (all that came since the last match). A box that
-//!   speaks frames names the frame's letter first. A name that is no box is a client and connects.
+//!   speaks frames names the frame's letter first. A name that is no box is a client and connects, to the
+//!   search API if it begins with `os`.
+//!   `{id}` in what is awaited keeps what stands there, and `{id}` in what is sent puts it back.
 //! - `WHO takes`: the next connection, in place of the present one. `WHO shut`: half-close. `WHO close`.
 //!   `WHO ends`: the program closes its side. `NAME refuses`: nobody listens there any more.
 //! - `term`: SIGTERM. `exits`: the program ends with 0.
@@ -35,12 +38,14 @@
     search: bool,
     stream: Option<TcpStream>,
     got: Vec<u8>,
+    id: String,
 }
 
 struct Program {
     child: Child,
     log: Receiver<String>,
     address: SocketAddr,
+    search: Option<SocketAddr>,
 }
 
 impl Drop for Program {
@@ -150,17 +155,24 @@
         let (lines, log) = channel();
         let errors = BufReader::new(child.stderr.take().expect("piped"));
         std::thread::spawn(move || errors.lines().map_while(Result::ok).all(|line| lines.send(line).is_ok()));
-        let mut program = Program { child, log, address: ([127, 0, 0, 1], 0).into() };
-        let line = program.await_log("listens on ");
+        let mut program = Program { child, log, address: ([127, 0, 0, 1], 0).into(), search: None };
+        let address = |line: String| {
+            let address = line.split("listens on ").nth(1).and_then(|rest| rest.split([' ', ',']).next());
+            address.and_then(|text| text.parse().ok()).expect("an address")
+        };
+        program.address = address(program.await_log("listens on "));
+        if self.set.contains_key("search") {
+            program.search = Some(address(program.await_log("search API")));
+        }
         let _ = std::fs::remove_file(path);
-        let address = line.split("listens on ").nth(1).and_then(|rest| rest.split(' ').next());
-        program.address = address.and_then(|text| text.parse().ok()).expect("an address");
         self.program = Some(program);
     }
 
     fn peer(&mut self, name: &str) -> &mut Peer {
         if !self.peers.contains_key(name) {
-            let address = self.program.as_ref().expect("started").address;
+            let program = self.program.as_ref().expect("started");
+            let search = program.search.filter(|_| name.starts_with("os"));
+            let address = search.unwrap_or(program.address);
             let stream = TcpStream::connect(address).expect("a connection");
             stream.set_nodelay(true).expect("no delay");
             self.peers.insert(name.into(), Peer { stream: Some(stream), ..Peer::default() });
@@ -207,7 +219,7 @@
     }
 
     fn say(&mut self, text: &str) {
-        let mut out = bytes(text);
+        let mut out = bytes(&text.replace("{id}", &self.id));
         if self.frames {
             out.remove(1); // the blank after the letter
             let mut frame = (out.len() as u32).to_be_bytes().to_vec();
@@ -218,7 +230,7 @@
     }
 
     fn hear(&mut self, text: &str) {
-        let pattern = bytes(text);
+        let pattern = bytes(&text.replace("{id}", "*"));
         let mut byte = [0];
         loop {
             let seen = if self.frames && self.got.len() > 4 {
@@ -228,7 +240,12 @@
             } else {
                 (!self.frames).then(|| self.got.clone())
             };
-            if seen.is_some_and(|seen| matches(&pattern, &seen)) {
+            if let Some(seen) = seen.filter(|seen| matches(&pattern, seen)) {
+                if let Some((before, after)) = text.split_once("{id}") {
+                    let rest = &seen[bytes(before).len()..];
+                    let end = rest.iter().position(|byte| after.as_bytes().first() == Some(byte));
+                    self.id = String::from_utf8_lossy(&rest[..end.expect("an end")]).into_owned();
+                }
                 return self.got.clear();
             }
             match self.stream().read(&mut byte) {
@@ -253,11 +270,18 @@
     match words[..] {
         ["discovery"] => drop(stage.listen("discovery", false)),
         ["leaf", name, rest] => {
-            let (cell, search) = rest.split_once(' ').map_or((rest, false), |(cell, _)| (cell, true));
+            let mut words = rest.split(' ');
+            let (cell, search) = (words.next().expect("a cell"), words.next() == Some("opensearch"));
             let peer = stage.listen(name, !search);
             (peer.cell, peer.search) = (cell.into(), search);
         }
         ["set", key, value] => drop(stage.set.insert(key.into(), value.into())),
+        ["edit", _, _] => {
+            let (old, new) = line[5..].split_once(" => ").expect("an arrow");
+            let settings = stage.set.entry("settings".into()).or_insert_with(|| SETTINGS.into());
+            assert!(settings.contains(old), "nothing to edit");
+            *settings = settings.replace(old, new);
+        }
         ["start"] => stage.start(name),
         ["log", ..] => {
             let program = stage.program.as_mut().expect("started");
@@ -295,7 +319,13 @@
         if let Err(cause) = result {
             let text = cause.downcast_ref::<String>().cloned();
             let text = text.or_else(|| cause.downcast_ref::<&str>().map(|text| text.to_string()));
-            panic!("{name}:{}: {line}\n{}", number + 1, text.unwrap_or_default());
+            let log = stage
+                .program
+                .iter()
+                .flat_map(|program| program.log.try_iter())
+                .collect::<Vec<_>>()
+                .join("\n");
+            panic!("{name}:{}: {line}\n{}\n{log}", number + 1, text.unwrap_or_default());
         }
     }
 }
