--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,8 @@
 mod logic;
 pub mod net;
 pub mod settings;
+pub mod store;
+pub mod vrrp;
 pub mod wire;
 
 pub use logic::Aggregator;
--- a/src/main.rs
+++ b/src/main.rs
@@ -54,7 +54,7 @@
             println!("wharfhub {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::CheckConfig(check) => read(check.config).map(|config| println!("{}", config.summary())),
+        Command::CheckConfig(check) => check_config(check.config),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -76,6 +76,15 @@
     Ok(config)
 }
 
+/// All that a start would read is read; nothing is listened on.
+fn check_config(path: Option<String>) -> Result<(), Failure> {
+    let config = read(path)?;
+    let summary = config.summary();
+    config.options()?;
+    println!("{summary}");
+    Ok(())
+}
+
 fn run(path: Option<String>) -> Result<(), Failure> {
     let config = read(path)?;
     let (stop, asked) = std::os::unix::net::UnixStream::pair()?;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -35,6 +35,8 @@
     pub ready: bool,
     /// The load report that came last, as the replica words it.
     pub load: Option<String>,
+    /// What the list last said of it.
+    listed: Option<ReplicaEntry>,
     /// The connections to it.
     pub conns: Vec<ConnKey>,
 }
@@ -44,6 +46,7 @@
 pub struct Directory {
     members: Vec<Member>,
     names: BTreeMap<String, ReplicaId>,
+    drains: Vec<String>, // that the operator marked
     zones: Vec<String>,
 }
 
@@ -109,7 +112,9 @@
         }
         if full {
             for (place, member) in self.members.iter_mut().enumerate() {
-                member.ready &= named.contains(&ReplicaId(place as u32));
+                if !named.contains(&ReplicaId(place as u32)) {
+                    (member.ready, member.listed) = (false, None);
+                }
             }
         }
         Some(List { revision, full, entries })
@@ -148,8 +153,28 @@
         if let Some(speech) = text(line, "speaks") {
             member.speech = if speech == "opensearch" { Speech::Search } else { Speech::Frames };
         }
-        member.ready = lifecycle == Lifecycle::Ready;
-        Some(ReplicaEntry { id, zone, cell, lifecycle, started_at })
+        member.listed = Some(ReplicaEntry { id, zone, cell, lifecycle, started_at });
+        self.entry(id)
+    }
+
+    /// What holds of a replica: what the list says, unless the operator marked it as draining.
+    fn entry(&mut self, id: ReplicaId) -> Option<ReplicaEntry> {
+        let member = self.members.get_mut(id.0 as usize)?;
+        let mut entry = member.listed?;
+        if entry.lifecycle == Lifecycle::Ready && self.drains.contains(&member.name) {
+            entry.lifecycle = Lifecycle::Draining;
+        }
+        member.ready = entry.lifecycle == Lifecycle::Ready;
+        Some(entry)
+    }
+
+    /// The operator's drain marks, all of them; gives the lines that hold now for those concerned.
+    pub fn mark_drains(&mut self, drains: Vec<String>) -> Vec<ReplicaEntry> {
+        let before = std::mem::replace(&mut self.drains, drains);
+        let changed = |name: &String| before.contains(name) != self.drains.contains(name);
+        let concerned: Vec<ReplicaId> =
+            self.names.iter().filter(|(name, _)| changed(name)).map(|(_, id)| *id).collect();
+        concerned.into_iter().filter_map(|id| self.entry(id)).collect()
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,9 +9,10 @@
 pub mod http;
 pub mod leaf;
 pub mod opensearch;
+pub mod operator;
 pub mod platform;
 
-use crate::api::{Outcome, ReplicaId};
+use crate::api::{Outcome, ReplicaEntry, ReplicaId};
 use crate::core::{Asked, AttemptKey, CallPart, Command, Core, RequestKey, Style, Wake};
 use crate::settings::Deployment;
 use discovery::{Directory, DiscoveryConn};
@@ -53,6 +54,8 @@
 
 const LISTENERS: [Token; 2] = [Token(0), Token(1)]; // by style
 const SIGNALS: Token = Token(2);
+const STORE: Token = Token(3);
+const VRRP: Token = Token(4);
 const STYLES: [Style; 2] = [Style::Platform, Style::Search];
 
 slotmap::new_key_type! {
@@ -100,6 +103,10 @@
     pub known: Option<Value>,
     /// After SIGTERM clients are served for so long before the listeners close (seconds).
     pub drain_s: f64,
+    /// The store, where it is set up.
+    pub store: Option<operator::StoreSetup>,
+    /// VRRP, where it is set up.
+    pub vrrp: Option<operator::VrrpSetup>,
     /// The settings.
     pub deployment: Deployment,
 }
@@ -123,6 +130,11 @@
         CLOCK_START_S + self.origin.elapsed().as_secs_f64()
     }
 
+    /// A time of this clock as a Unix time in milliseconds.
+    pub fn wall_now_ms(&self, now: f64) -> u64 {
+        (self.wall_ms + (now - CLOCK_START_S) * 1000.0).max(0.0) as u64
+    }
+
     /// A Unix time in milliseconds on this clock; 0 where it is unset or too long ago to matter.
     pub fn from_wall_ms(&self, at: f64) -> f64 {
         if at <= 0.0 || !at.is_finite() {
@@ -140,6 +152,10 @@
     Accept,
     Ask,
     Phase,
+    Listen,
+    Vrrp,
+    Refresh,
+    Operation(u64),
 }
 
 /// Every deadline of the program, in order of time. None is taken out early: one that has lost its sense
@@ -191,6 +207,8 @@
     Reading,
     /// The core holds its request.
     Held(RequestKey),
+    /// An operation of the store has to end first.
+    Waiting,
     /// An answer is being written.
     Writing,
     /// The last answer is out; whatever still comes is thrown away.
@@ -221,7 +239,7 @@
         match self.state {
             ClientState::Reading if self.idle() => self.since + IDLE_S,
             ClientState::Reading | ClientState::Writing => self.since + REQUEST_S,
-            ClientState::Held(_) => f64::MAX,
+            ClientState::Held(_) | ClientState::Waiting => f64::MAX,
             ClientState::Lingering => self.since + LINGER_S,
         }
     }
@@ -231,6 +249,7 @@
     Client(Box<Client>),
     Leaf(Box<LeafConn>),
     Discovery(Box<DiscoveryConn>),
+    Peer(Box<operator::PeerConn>),
 }
 
 /// The mixer on its sockets.
@@ -261,6 +280,8 @@
     search_tenant: Option<String>,
     last_search: u64,
     drain_s: f64,
+    store: Option<operator::Store>,
+    vrrp: Option<operator::Vrrp>,
 }
 
 impl Mixer {
@@ -273,8 +294,12 @@
             poll.registry().register(&mut listener, LISTENERS[style as usize], Interest::READABLE)?;
             Ok::<_, NetError>(listener)
         };
-        let search = options.search.map(|address| listen(address, Style::Search)).transpose()?;
-        let listeners = [Some(listen(options.listen, Style::Platform)?), search];
+        let addresses = [Some(options.listen), options.search];
+        let mut listeners = [None, None];
+        // With VRRP it is the Active state that opens them.
+        for (style, address) in STYLES.into_iter().zip(addresses).filter(|_| options.vrrp.is_none()) {
+            listeners[style as usize] = address.map(|address| listen(address, style)).transpose()?;
+        }
         stop.set_nonblocking(true)?;
         let mut signals = UnixStream::from_std(stop);
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
@@ -311,12 +336,15 @@
             search_tenant: options.search_tenant,
             last_search: 0,
             drain_s: options.drain_s,
+            store: None,
+            vrrp: None,
         };
-        for (style, what) in STYLES.into_iter().zip(["", ", search API"]) {
-            if let Some(address) = mixer.listeners[style as usize].as_ref().map(TcpListener::local_addr) {
-                let line = format!("start: {} listens on {}{what}", mixer.name, address?);
-                mixer.log(&line);
-            }
+        mixer.log_listeners();
+        if let Some(setup) = options.store {
+            mixer.set_up_store(setup)?;
+        }
+        if let Some(setup) = options.vrrp {
+            mixer.set_up_vrrp(setup, addresses)?;
         }
         if let Some(known) = &options.known {
             mixer.take_list(known);
@@ -342,6 +370,8 @@
                 match event.token() {
                     Token(style) if style < STYLES.len() => self.accept(STYLES[style]),
                     SIGNALS => self.stop_asked(),
+                    STORE => self.store_accept(),
+                    VRRP => self.vrrp_event(),
                     Token(key) => {
                         let key = ConnKey::from(KeyData::from_ffi(key as u64));
                         let gone = event.is_error() || (event.is_read_closed() && event.is_write_closed());
@@ -371,6 +401,15 @@
         }
     }
 
+    fn log_listeners(&mut self) {
+        for (style, what) in STYLES.into_iter().zip(["", ", search API"]) {
+            let address = self.listeners[style as usize].as_ref().map(TcpListener::local_addr);
+            if let Some(Ok(address)) = address {
+                self.log(&format!("start: {} listens on {address}{what}", self.name));
+            }
+        }
+    }
+
     /// Carries out what the core commands, and what comes of that, until nothing is left.
     fn settle(&mut self) {
         while !self.commands.is_empty() || !self.resumed.is_empty() {
@@ -407,6 +446,10 @@
             Due::Conn(key) => self.conn_due(key),
             Due::Accept => STYLES.into_iter().for_each(|style| self.accept(style)),
             Due::Ask => self.ask(),
+            Due::Listen => self.open_listeners(),
+            Due::Vrrp => self.vrrp_take(crate::vrrp::Event::Timer),
+            Due::Refresh => self.refresh(),
+            Due::Operation(id) => self.operation_due(id),
             Due::Phase => {
                 if let Phase::Draining { .. } = self.phase {
                     self.close_listener();
@@ -437,6 +480,7 @@
     fn close_listener(&mut self) {
         STYLES.into_iter().for_each(|style| self.accept(style));
         self.listeners = [None, None];
+        self.vrrp_take(crate::vrrp::Event::Shutdown);
         let longest = self.deployment.policy.classes.iter().map(|class| class.deadline_s);
         let until = self.now + longest.fold(3.0, f64::max);
         self.phase = Phase::Closing { until };
@@ -547,6 +591,7 @@
             Some(Conn::Client(client)) => registry.register(&mut client.stream, token(key), both),
             Some(Conn::Leaf(leaf)) => registry.register(&mut leaf.stream, token(key), both),
             Some(Conn::Discovery(conn)) => registry.register(&mut conn.stream, token(key), both),
+            Some(Conn::Peer(peer)) => peer.register(registry, key),
             None => Ok(()),
         };
         if let Err(error) = result {
@@ -561,15 +606,19 @@
                     self.core.leave(self.now, request, &mut self.commands);
                     return self.drop_conn(key);
                 }
+                if gone && client.state == ClientState::Waiting {
+                    return self.drop_conn(key);
+                }
                 client.ended |= read_closed;
                 match client.state {
                     ClientState::Writing => self.write_client(key),
-                    ClientState::Held(_) => {}
+                    ClientState::Held(_) | ClientState::Waiting => {}
                     _ => self.read_client(key),
                 }
             }
             Some(Conn::Leaf(_)) => self.leaf_event(key),
             Some(Conn::Discovery(_)) => self.discovery_event(key),
+            Some(Conn::Peer(_)) => self.peer_event(key),
             None => {} // an event for a connection that is gone
         }
     }
@@ -672,7 +721,10 @@
 
     /// The pages for those who run the mixer and for what stands before it.
     fn page(&mut self, key: ConnKey, message: &Message) {
-        let Start::Request { target, .. } = &message.start else { return };
+        let Start::Request { method, target } = &message.start else { return };
+        if let Some(name) = target.strip_prefix("/-/store/").filter(|_| self.store.is_some()) {
+            return self.store_page(key, method, name, &message.body);
+        }
         let (status, body) = match target.split('?').next().unwrap_or_default() {
             "/-/ready" if self.phase == Phase::Serving => (200, "{\"ready\":true}".to_string()),
             "/-/ready" => (503, "{\"ready\":false}".to_string()),
@@ -764,7 +816,7 @@
             Some(Conn::Discovery(conn)) if self.now + 1e-4 >= conn.due => {
                 self.end_discovery(key, "no answer in time");
             }
-            Some(Conn::Discovery(_)) | None => {}
+            Some(Conn::Discovery(_) | Conn::Peer(_)) | None => {}
         }
     }
 
@@ -779,7 +831,7 @@
                 }
             }
             Some(Conn::Discovery(_)) => self.asking = None,
-            None => {}
+            Some(Conn::Peer(_)) | None => {}
         }
     }
 
@@ -1031,7 +1083,13 @@
         if count > 0 {
             self.log(&format!("discovery: revision {:?}, {count} lines, full {}", self.revision, list.full));
         }
-        self.core.list(self.now, list.full, list.entries, &mut self.commands);
+        self.take_entries(list.full, list.entries);
+        true
+    }
+
+    /// Tells the core of replicas, and withdraws what must not leave any more.
+    fn take_entries(&mut self, full: bool, entries: Vec<ReplicaEntry>) {
+        self.core.list(self.now, full, entries, &mut self.commands);
         // Nothing new may go to what drains or is gone, not even what still waits for its connection.
         let unready: Vec<ConnKey> = self
             .directory
@@ -1051,7 +1109,6 @@
             self.phase = Phase::Serving;
             self.log("ready: serving");
         }
-        true
     }
 }
 
--- /dev/null
+++ b/src/net/operator.rs
@@ -0,0 +1,444 @@
+//! The operator's set-up: the store's peers over TCP, and VRRP over UDP.
+//!
+//! This file owns the sockets of both, the queue of store operations and what the store's keys mean to this
+//! mixer: `members` (a list in discovery's form), `drains` (names of replicas that get nothing new) and
+//! `settings` (for the next start). It must never be in the way on the platform, where neither is set up, and
+//! never let a client wait for the store without end.
+
+use super::{token, ClientState, Conn, ConnKey, Due, Mixer, NetError, Phase, LISTENERS, STORE, STYLES, VRRP};
+use crate::net::http;
+use crate::store::{Message, Operation, Registers, KEY_MOST, VALUE_MOST};
+use crate::vrrp::{self, Advertisement, Event, Router, State};
+use mio::net::{TcpListener, TcpStream, UdpSocket};
+use mio::Interest;
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::{IpAddr, SocketAddr};
+
+/// An operation that has no majority after this time has failed (seconds).
+const OPERATION_S: f64 = 2.0;
+/// How often the keys that matter here are read (seconds).
+const REFRESH_S: f64 = 2.0;
+const KEYS: [&str; 3] = ["members", "drains", "settings"];
+/// Operations that may wait, and bytes that may wait to be written to a peer.
+const WAITING_MOST: usize = 64;
+const PEER_OUT_MOST: usize = 4 * 1024 * 1024;
+/// Where the virtual address cannot be listened on yet, it is tried again after this time (seconds).
+const BIND_AGAIN_S: f64 = 0.1;
+
+/// How the store is set up.
+pub struct StoreSetup {
+    /// This node.
+    pub node: u32,
+    /// Where its peers reach it.
+    pub listen: SocketAddr,
+    /// The other nodes.
+    pub peers: BTreeMap<u32, SocketAddr>,
+    /// What it holds already, and where that is kept.
+    pub registers: Registers,
+}
+
+/// How VRRP is set up.
+pub struct VrrpSetup {
+    /// The machine's own set-up.
+    pub router: vrrp::Setup,
+    /// Where advertisements are received, and sent from.
+    pub listen: SocketAddr,
+    /// The other routers.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// A connection to or from a peer of the store.
+pub struct PeerConn {
+    stream: TcpStream,
+    node: Option<u32>, // whom we connected to; none for a peer that connected to us
+    up: bool,
+    inbuf: Vec<u8>,
+    out: Vec<u8>,
+}
+
+pub(super) struct Store {
+    setup: StoreSetup,
+    listener: TcpListener,
+    links: BTreeMap<u32, ConnKey>,
+    waiting: VecDeque<(Option<ConnKey>, String, Option<String>)>,
+    running: Option<(Option<ConnKey>, Operation)>,
+    last: u64,
+    applied: BTreeMap<String, String>,
+    last_word: Option<String>, // how the last refresh went, to log changes only
+}
+
+pub(super) struct Vrrp {
+    router: Router,
+    socket: UdpSocket,
+    peers: Vec<SocketAddr>,
+    addresses: [Option<SocketAddr>; 2], // of the clients' listeners, by style
+}
+
+impl Mixer {
+    pub(super) fn set_up_store(&mut self, setup: StoreSetup) -> Result<(), NetError> {
+        let address = setup.listen;
+        let mut listener = TcpListener::bind(address).map_err(|error| NetError::Listen { address, error })?;
+        self.poll.registry().register(&mut listener, STORE, Interest::READABLE)?;
+        let line = format!("store: node {} listens on {}", setup.node, listener.local_addr()?);
+        self.log(&line);
+        self.store = Some(Store {
+            setup,
+            listener,
+            links: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            running: None,
+            last: 0,
+            applied: BTreeMap::new(),
+            last_word: None,
+        });
+        self.agenda.add(self.now, Due::Refresh);
+        Ok(())
+    }
+
+    /// Where VRRP is set up, clients are listened for only while Active.
+    pub(super) fn set_up_vrrp(
+        &mut self,
+        setup: VrrpSetup,
+        addresses: [Option<SocketAddr>; 2],
+    ) -> Result<(), NetError> {
+        let address = setup.listen;
+        let mut socket = UdpSocket::bind(address).map_err(|error| NetError::Listen { address, error })?;
+        self.poll.registry().register(&mut socket, VRRP, Interest::READABLE)?;
+        let line = format!("vrrp: router {} advertises from {}", setup.router.router, socket.local_addr()?);
+        self.log(&line);
+        self.vrrp = Some(Vrrp { router: Router::new(setup.router), socket, peers: setup.peers, addresses });
+        self.vrrp_take(Event::Startup);
+        Ok(())
+    }
+
+    // ---- VRRP
+
+    pub(super) fn vrrp_event(&mut self) {
+        let mut buffer = [0; 2048];
+        loop {
+            let Some(vrrp) = &self.vrrp else { return };
+            let (count, from) = match vrrp.socket.recv_from(&mut buffer) {
+                Ok(heard) => heard,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                // A peer that is down shows as refused; it says nothing about the next message.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => continue,
+                Err(_) => return,
+            };
+            // Only listed peers are heeded.
+            let (true, IpAddr::V4(address)) = (vrrp.peers.contains(&from), from.ip()) else { continue };
+            match Advertisement::decode(&buffer[..count]) {
+                Ok(heard) => self.vrrp_take(Event::Heard(address, heard)),
+                Err(error) => self.log(&format!("vrrp: from {from}: {error}")),
+            }
+        }
+    }
+
+    pub(super) fn vrrp_take(&mut self, event: Event) {
+        let Some(vrrp) = &mut self.vrrp else { return };
+        let before = vrrp.router.state();
+        let sent = vrrp.router.take(self.now, event);
+        if let Some(bytes) = sent.map(|sent| sent.encode()) {
+            for peer in &vrrp.peers {
+                let _ = vrrp.socket.send_to(&bytes, *peer); // lost ones are what the timers are for
+            }
+        }
+        let state = vrrp.router.state();
+        if let Some(at) = vrrp.router.due() {
+            self.agenda.add(at, Due::Vrrp);
+        }
+        if state != before {
+            self.log(&format!("vrrp: {state:?}"));
+            match state {
+                State::Active => self.open_listeners(),
+                State::Backup | State::Initialize if before == State::Active => self.leave_listeners(),
+                _ => {}
+            }
+        }
+    }
+
+    /// Listens for clients, now that we are Active; again a little later where that is not possible yet.
+    pub(super) fn open_listeners(&mut self) {
+        let Some(vrrp) = &self.vrrp else { return };
+        if vrrp.router.state() != State::Active || !matches!(self.phase, Phase::Starting | Phase::Serving) {
+            return;
+        }
+        for (style, wanted) in STYLES.into_iter().zip(vrrp.addresses) {
+            let (Some(address), None) = (wanted, &self.listeners[style as usize]) else { continue };
+            let opened = TcpListener::bind(address).and_then(|mut listener| {
+                self.poll.registry().register(
+                    &mut listener,
+                    LISTENERS[style as usize],
+                    Interest::READABLE,
+                )?;
+                Ok(listener)
+            });
+            match opened {
+                Ok(listener) => self.listeners[style as usize] = Some(listener),
+                Err(error) => {
+                    self.log(&format!("vrrp: cannot listen on {address} yet: {error}"));
+                    return self.agenda.add(self.now + BIND_AGAIN_S, Due::Listen);
+                }
+            }
+        }
+        self.log_listeners();
+    }
+
+    /// No longer Active: what was accepted is answered, and its clients go elsewhere.
+    fn leave_listeners(&mut self) {
+        STYLES.into_iter().for_each(|style| self.accept(style));
+        self.listeners = [None, None];
+        let clients = |(key, conn): (ConnKey, &Conn)| matches!(conn, Conn::Client(_)).then_some(key);
+        for key in self.conns.iter().filter_map(clients).collect::<Vec<_>>() {
+            if let Some(Conn::Client(client)) = self.conns.get_mut(key) {
+                client.close = true;
+                if client.idle() {
+                    self.linger(key);
+                }
+            }
+        }
+    }
+
+    // ---- store
+
+    pub(super) fn store_accept(&mut self) {
+        while let Some(Ok((stream, _))) = self.store.as_ref().map(|store| store.listener.accept()) {
+            let _ = stream.set_nodelay(true);
+            let peer = PeerConn { stream, node: None, up: true, inbuf: Vec::new(), out: Vec::new() };
+            let key = self.conns.insert(Conn::Peer(Box::new(peer)));
+            self.register(key);
+            self.peer_event(key);
+        }
+    }
+
+    /// Reads the keys that matter here, in turn with what clients ask.
+    pub(super) fn refresh(&mut self) {
+        let Some(store) = &mut self.store else { return };
+        if store.waiting.is_empty() && store.running.is_none() {
+            store.waiting.extend(KEYS.map(|key| (None, key.to_string(), None)));
+        }
+        self.agenda.add(self.now + REFRESH_S, Due::Refresh);
+        self.next_operation();
+    }
+
+    /// A page of the store: GET reads a key, PUT writes it.
+    pub(super) fn store_page(&mut self, key: ConnKey, method: &str, name: &str, body: &[u8]) {
+        let value = std::str::from_utf8(body).ok().map(String::from);
+        let sound = !name.is_empty() && name.len() <= KEY_MOST && body.len() <= VALUE_MOST && value.is_some();
+        let value = match method {
+            "GET" => None,
+            "PUT" => value,
+            _ => return self.store_answer(key, 405, "{\"error\":\"GET or PUT\"}"),
+        };
+        if !sound || !well_formed(name, value.as_deref()) {
+            return self.store_answer(key, 400, "{\"error\":\"a key or value that is not sound\"}");
+        }
+        let Some(store) = &mut self.store else { return };
+        if store.waiting.len() >= WAITING_MOST {
+            return self.store_answer(key, 503, "{\"error\":\"too many operations wait\"}");
+        }
+        store.waiting.push_back((Some(key), name.to_string(), value));
+        if let Some(Conn::Client(client)) = self.conns.get_mut(key) {
+            (client.state, client.since) = (ClientState::Waiting, self.now);
+        }
+        self.next_operation();
+    }
+
+    fn store_answer(&mut self, key: ConnKey, status: u16, body: &str) {
+        let close = self.closes();
+        self.respond(key, http::response(status, &[], body, close), close);
+    }
+
+    /// Begins the next operation, unless one is under way: one node has one at a time.
+    fn next_operation(&mut self) {
+        let floor = self.clock.wall_now_ms(self.now);
+        let Some(store) = self.store.as_mut().filter(|store| store.running.is_none()) else { return };
+        let Some((client, key, value)) = store.waiting.pop_front() else { return };
+        store.last += 1;
+        let nodes = (store.setup.node, store.setup.peers.len() + 1);
+        let (operation, message) = Operation::begin(store.last, &key, value, nodes, floor);
+        store.running = Some((client, operation));
+        self.agenda.add(self.now + OPERATION_S, Due::Operation(store.last));
+        self.broadcast(message);
+    }
+
+    fn broadcast(&mut self, message: Message) {
+        let Some(store) = &mut self.store else { return };
+        let peers: Vec<(u32, SocketAddr)> = store.setup.peers.iter().map(|(node, to)| (*node, *to)).collect();
+        let (node, own) = (store.setup.node, store.setup.registers.serve(&message));
+        let bytes = message.encode();
+        for (node, address) in peers {
+            let key = match self.store.as_ref().and_then(|store| store.links.get(&node)).copied() {
+                Some(key) => Some(key),
+                None => self.open_peer(node, address),
+            };
+            let Some(Conn::Peer(peer)) = key.and_then(|key| self.conns.get_mut(key)) else { continue };
+            if peer.out.len() < PEER_OUT_MOST {
+                peer.out.extend(&bytes);
+            }
+            if let Some(key) = key {
+                self.peer_event(key);
+            }
+        }
+        if let Some(answer) = own {
+            self.store_heard(node, answer);
+        }
+    }
+
+    fn open_peer(&mut self, node: u32, address: SocketAddr) -> Option<ConnKey> {
+        let stream = TcpStream::connect(address).ok()?;
+        let peer = PeerConn { stream, node: Some(node), up: false, inbuf: Vec::new(), out: Vec::new() };
+        let key = self.conns.insert(Conn::Peer(Box::new(peer)));
+        self.store.as_mut()?.links.insert(node, key);
+        self.register(key);
+        Some(key)
+    }
+
+    pub(super) fn peer_event(&mut self, key: ConnKey) {
+        let Some(Conn::Peer(peer)) = self.conns.get_mut(key) else { return };
+        let node = peer.node;
+        let mut heard = Vec::new();
+        if peer.turn(&mut heard).is_err() {
+            self.drop_peer(key);
+        }
+        for message in heard {
+            match node {
+                Some(node) => self.store_heard(node, message),
+                None => {
+                    let answer = self.store.as_mut().and_then(|store| store.setup.registers.serve(&message));
+                    let Some(Conn::Peer(peer)) = self.conns.get_mut(key) else { return };
+                    peer.out.extend(answer.map(|answer| answer.encode()).unwrap_or_default());
+                    let slow = peer.out.len() > PEER_OUT_MOST;
+                    if peer.turn(&mut Vec::new()).is_err() || slow {
+                        return self.drop_peer(key);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn drop_peer(&mut self, key: ConnKey) {
+        if let (Some(Conn::Peer(peer)), Some(store)) = (self.conns.remove(key), &mut self.store) {
+            if let Some(node) = peer.node {
+                store.links.remove(&node);
+            }
+        }
+    }
+
+    fn store_heard(&mut self, node: u32, message: Message) {
+        let running = self.store.as_mut().and_then(|store| store.running.as_mut());
+        match running.and_then(|(_, operation)| operation.take(node, message)) {
+            None => {}
+            Some(Err(next)) => self.broadcast(next),
+            Some(Ok(done)) => {
+                let client = self.store.as_mut().and_then(|store| store.running.take()).and_then(|run| run.0);
+                let value = done.value.as_ref().map_or("null".into(), miniserde::json::to_string);
+                let body = format!(
+                    "{{\"key\":{},\"version\":[{},{}],\"value\":{value}}}",
+                    miniserde::json::to_string(&done.key),
+                    done.version.counter,
+                    done.version.node
+                );
+                match client {
+                    Some(client) => self.store_answer(client, 200, &body),
+                    None => self.store_word("reached a majority"),
+                }
+                if let Some(value) = done.value {
+                    self.apply(&done.key, value);
+                }
+                self.next_operation();
+            }
+        }
+    }
+
+    pub(super) fn operation_due(&mut self, id: u64) {
+        let Some(store) = self.store.as_mut().filter(|store| store.last == id) else { return };
+        let Some((client, _)) = store.running.take() else { return };
+        match client {
+            Some(client) => {
+                let body = format!("{{\"error\":\"{}\"}}", crate::store::StoreError::NoMajority);
+                self.store_answer(client, 504, &body);
+            }
+            None => self.store_word("has no majority"),
+        }
+        self.next_operation();
+    }
+
+    fn store_word(&mut self, word: &str) {
+        let Some(store) = &mut self.store else { return };
+        if store.last_word.as_deref() != Some(word) {
+            store.last_word = Some(word.to_string());
+            self.log(&format!("store: {word}"));
+        }
+    }
+
+    /// What a key's value means here, where it is new.
+    fn apply(&mut self, key: &str, value: String) {
+        let Some(store) = &mut self.store else { return };
+        if store.applied.get(key) == Some(&value) {
+            return;
+        }
+        store.applied.insert(key.to_string(), value.clone());
+        match key {
+            "members" => {
+                if let Ok(list) = miniserde::json::from_str(&value) {
+                    self.take_list(&list);
+                }
+            }
+            "drains" => {
+                let drains: Vec<String> = miniserde::json::from_str(&value).unwrap_or_default();
+                self.log(&format!("store: draining {drains:?}"));
+                let entries = self.directory.mark_drains(drains);
+                self.take_entries(false, entries);
+            }
+            "settings" => self.log("store: settings are new; they count from the next start on"),
+            _ => {}
+        }
+    }
+}
+
+/// Whether a value is one that its key can have. Guards against a typing error that reaches every mixer.
+fn well_formed(key: &str, value: Option<&str>) -> bool {
+    let Some(value) = value else { return true };
+    match key {
+        "members" => miniserde::json::from_str::<miniserde::json::Value>(value).is_ok(),
+        "drains" => miniserde::json::from_str::<Vec<String>>(value).is_ok(),
+        "settings" => crate::settings::decode(value.as_bytes()).is_ok(),
+        _ => true,
+    }
+}
+
+impl PeerConn {
+    /// Writes and reads what the socket takes and has.
+    fn turn(&mut self, heard: &mut Vec<Message>) -> io::Result<()> {
+        if !self.up && !super::came_up(&self.stream)? {
+            return Ok(());
+        }
+        self.up = true;
+        while !self.out.is_empty() {
+            match self.stream.write(&self.out) {
+                Ok(count) => drop(self.out.drain(..count)),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            match self.stream.read(&mut buffer) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(count) => self.inbuf.extend_from_slice(&buffer[..count]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+            while let Some(message) = Message::decode(&mut self.inbuf).map_err(io::Error::other)? {
+                heard.push(message);
+            }
+        }
+    }
+
+    pub(super) fn register(&mut self, registry: &mio::Registry, key: ConnKey) -> io::Result<()> {
+        registry.register(&mut self.stream, token(key), Interest::READABLE | Interest::WRITABLE)
+    }
+}
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -72,7 +72,7 @@
     let Start::Request { method, target } = &message.start else { return Request::Bad(400, "not a request") };
     let path = target.split('?').next().unwrap_or_default();
     match (method.as_str(), path) {
-        ("GET", _) if path.starts_with("/-/") => Request::Page,
+        ("GET" | "PUT", _) if path.starts_with("/-/") => Request::Page,
         ("POST", _) => {
             query(message, path, deployment).map_or_else(|(s, why)| Request::Bad(s, why), Request::Query)
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,9 +4,15 @@
 //! needs a setting takes it from [`Deployment`], and a second type for the same keys is a fault.
 
 use crate::api::*;
+use crate::net::operator::{StoreSetup, VrrpSetup};
 use crate::net::Options;
+use crate::store::Registers;
+use crate::vrrp;
 use miniserde::json::Value;
 use miniserde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
 use thiserror::Error;
 
 /// After SIGTERM clients are served for so long before the listeners close, where nothing else is set (seconds).
@@ -286,6 +292,8 @@
     limits: Option<LimitsJson>,
     known: Option<Value>,
     drain_s: Option<f64>,
+    store: Option<StoreJson>,
+    vrrp: Option<VrrpJson>,
     settings: Setup,
 }
 
@@ -296,6 +304,33 @@
     tenant: Option<String>,
 }
 
+/// The store; it is off where this is missing.
+#[derive(Deserialize)]
+struct StoreJson {
+    node: u32,
+    listen: String,
+    folder: Option<String>,
+    peers: Vec<StorePeerJson>,
+}
+
+#[derive(Deserialize)]
+struct StorePeerJson {
+    node: u32,
+    address: String,
+}
+
+/// VRRP; it is off where this is missing.
+#[derive(Deserialize)]
+struct VrrpJson {
+    router: u8,
+    priority: u8,
+    interval_cs: u16,
+    preempt: Option<bool>,
+    addresses: Vec<String>,
+    listen: String,
+    peers: Vec<String>,
+}
+
 #[derive(Default, Deserialize)]
 struct LimitsJson {
     sockets: Option<f64>,
@@ -337,9 +372,8 @@
     /// What the mixer is started with.
     pub fn options(self) -> Result<Options, SettingsError> {
         let json = self.json;
-        let address = |text: &str, what: &str| {
-            text.parse().map_err(|_| SettingsError::Senseless(format!("{what} is no address: {text:?}")))
-        };
+        let store = json.store.map(|store| store.setup()).transpose()?;
+        let vrrp = json.vrrp.map(|vrrp| vrrp.setup()).transpose()?;
         let seed = json.seed.as_deref().unwrap_or_default();
         Ok(Options {
             name: json.name.unwrap_or_else(|| "wharfhub".into()),
@@ -353,9 +387,52 @@
             discovery: json.discovery.map(|text| address(&text, "discovery")).transpose()?,
             seed: u64::from_str_radix(seed, 16).unwrap_or(0x5eed),
             sockets: json.limits.unwrap_or_default().sockets.map_or(1024, |sockets| sockets as usize),
+            store,
+            vrrp,
             known: json.known,
             drain_s: json.drain_s.filter(|time| *time >= 0.0).unwrap_or(DRAIN_S),
             deployment: json.settings.deployment()?,
         })
     }
 }
+
+fn address<T: std::str::FromStr>(text: &str, what: &str) -> Result<T, SettingsError> {
+    text.parse().map_err(|_| SettingsError::Senseless(format!("{what} is no address: {text:?}")))
+}
+
+impl StoreJson {
+    fn setup(self) -> Result<StoreSetup, SettingsError> {
+        let mut peers = BTreeMap::new();
+        for peer in self.peers {
+            peers.insert(peer.node, address(&peer.address, "store.peers")?);
+        }
+        if peers.contains_key(&self.node) {
+            return Err(SettingsError::Senseless("store.peers names this node".into()));
+        }
+        let registers = match &self.folder {
+            None => Registers::in_memory(),
+            Some(folder) => Registers::open(Path::new(folder))
+                .map_err(|error| SettingsError::Senseless(format!("store.folder {folder}: {error}")))?,
+        };
+        Ok(StoreSetup { node: self.node, listen: address(&self.listen, "store.listen")?, peers, registers })
+    }
+}
+
+impl VrrpJson {
+    fn setup(self) -> Result<VrrpSetup, SettingsError> {
+        let listen: SocketAddr = address(&self.listen, "vrrp.listen")?;
+        let IpAddr::V4(primary) = listen.ip() else {
+            return Err(SettingsError::Senseless("vrrp.listen is not of IPv4".into()));
+        };
+        let addresses = self.addresses.iter().map(|text| address(text, "vrrp.addresses"));
+        let addresses: Vec<Ipv4Addr> = addresses.collect::<Result<_, _>>()?;
+        if addresses.is_empty() || self.priority == 0 || self.interval_cs == 0 {
+            return Err(SettingsError::Senseless("vrrp: no address, priority 0 or interval 0".into()));
+        }
+        let peers = self.peers.iter().map(|text| address(text, "vrrp.peers")).collect::<Result<_, _>>()?;
+        let (router, priority, interval_cs) = (self.router, self.priority, self.interval_cs);
+        let preempt = self.preempt.unwrap_or(true);
+        let router = vrrp::Setup { router, priority, interval_cs, preempt, primary, addresses };
+        Ok(VrrpSetup { router, listen, peers })
+    }
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,391 @@
+//! The store of configuration and operator state: quorum registers, replicated among the listed peers.
+//!
+//! This file owns the registers of one node (each key with a value and a version of counter and node), their
+//! file where a data folder is set, the messages between peers, and the operations of the ABD algorithm: a
+//! write asks a majority for versions and stores a higher one at a majority; a read takes the highest of a
+//! majority and writes it back to one. It must never hold a socket or read a clock, never acknowledge what is
+//! not yet durable where it has to be, and never answer without a majority: that is an error.
+
+use miniserde::json;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// Longest key, longest value, most keys.
+pub const KEY_MOST: usize = 200;
+/// Longest value.
+pub const VALUE_MOST: usize = 64 * 1024;
+const KEYS_MOST: usize = 256;
+const FILE_NAME: &str = "registers.json";
+
+/// Why something could not be stored or read.
+#[derive(Debug, Error)]
+pub enum StoreError {
+    /// Fewer than a majority of the nodes answered in time. A write may or may not have taken place.
+    #[error("no majority of the store's nodes answered")]
+    NoMajority,
+    /// The key or the value is too long, or there are too many keys.
+    #[error("beyond the store's limits")]
+    Limits,
+    /// The data folder failed.
+    #[error("the data folder failed: {0}")]
+    Disk(#[from] io::Error),
+    /// The file in the data folder is not what was written there.
+    #[error("the file in the data folder is damaged")]
+    Damaged,
+}
+
+/// Which of two values is newer: the higher counter, and between equals the higher node.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, miniserde::Serialize, miniserde::Deserialize,
+)]
+pub struct Version {
+    /// Counts writes.
+    pub counter: u64,
+    /// Who wrote.
+    pub node: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, miniserde::Serialize, miniserde::Deserialize)]
+struct Register {
+    key: String,
+    version: Version,
+    value: String,
+}
+
+#[derive(miniserde::Serialize, miniserde::Deserialize)]
+struct Contents {
+    checksum: u32,
+    registers: String, // JSON of the registers, over which the checksum is
+}
+
+/// The registers of one node.
+#[derive(Debug, Default)]
+pub struct Registers {
+    registers: BTreeMap<String, Register>,
+    folder: Option<PathBuf>,
+}
+
+impl Registers {
+    /// Registers in memory only.
+    pub fn in_memory() -> Registers {
+        Registers::default()
+    }
+
+    /// Registers kept in a folder; what is there already is read.
+    pub fn open(folder: &Path) -> Result<Registers, StoreError> {
+        let text = match fs::read_to_string(folder.join(FILE_NAME)) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => None,
+            text => Some(text?),
+        };
+        let mut registers = BTreeMap::new();
+        if let Some(text) = text {
+            let contents: Contents = json::from_str(&text).map_err(|_| StoreError::Damaged)?;
+            // Guards against a file that was cut off or changed: half a state is worse than none.
+            if crc32fast::hash(contents.registers.as_bytes()) != contents.checksum {
+                return Err(StoreError::Damaged);
+            }
+            let list: Vec<Register> = json::from_str(&contents.registers).map_err(|_| StoreError::Damaged)?;
+            registers = list.into_iter().map(|register| (register.key.clone(), register)).collect();
+        }
+        Ok(Registers { registers, folder: Some(folder.to_path_buf()) })
+    }
+
+    /// A register's version and value; version 0 where it was never written.
+    pub fn get(&self, key: &str) -> (Version, Option<&str>) {
+        match self.registers.get(key) {
+            Some(register) => (register.version, Some(&register.value)),
+            None => (Version::default(), None),
+        }
+    }
+
+    /// Takes a value if it is newer. It is durable, where it has to be, once this returns.
+    pub fn put(&mut self, key: &str, version: Version, value: &str) -> Result<(), StoreError> {
+        if self.get(key).0 >= version {
+            return Ok(());
+        }
+        let known = self.registers.contains_key(key);
+        if key.len() > KEY_MOST || value.len() > VALUE_MOST || (!known && self.registers.len() >= KEYS_MOST) {
+            return Err(StoreError::Limits);
+        }
+        let register = Register { key: key.to_string(), version, value: value.to_string() };
+        let old = self.registers.insert(key.to_string(), register);
+        let saved = self.save();
+        if saved.is_err() {
+            // What is not on disk must not be told to anybody.
+            match old {
+                Some(old) => drop(self.registers.insert(key.to_string(), old)),
+                None => drop(self.registers.remove(key)),
+            }
+        }
+        saved
+    }
+
+    fn save(&self) -> Result<(), StoreError> {
+        let Some(folder) = &self.folder else { return Ok(()) };
+        let registers = json::to_string(&self.registers.values().cloned().collect::<Vec<_>>());
+        let checksum = crc32fast::hash(registers.as_bytes());
+        let next = folder.join(format!("{FILE_NAME}.next"));
+        let mut file = File::create(&next)?;
+        file.write_all(json::to_string(&Contents { checksum, registers }).as_bytes())?;
+        file.sync_all()?;
+        fs::rename(&next, folder.join(FILE_NAME))?;
+        File::open(folder)?.sync_all()?;
+        Ok(())
+    }
+
+    /// What this node answers to a request of a peer, or of itself.
+    pub fn serve(&mut self, request: &Message) -> Option<Message> {
+        let mut answer = Message { answer: true, ..request.clone() };
+        match &request.value {
+            _ if request.answer || request.key.len() > KEY_MOST => return None,
+            None => {
+                let (version, value) = self.get(&request.key);
+                (answer.version, answer.value) = (version, value.map(String::from));
+            }
+            // No acknowledgement of what could not be kept.
+            Some(value) => {
+                self.put(&request.key, request.version, value).ok()?;
+                answer.value = None;
+            }
+        }
+        Some(answer)
+    }
+}
+
+/// A message between nodes. With a value it stores, without one it asks.
+#[derive(Clone, Debug, Default, PartialEq, miniserde::Serialize, miniserde::Deserialize)]
+pub struct Message {
+    /// The operation of the asking node that this belongs to.
+    pub operation: u64,
+    /// Its step: 1 asks for versions, 2 stores.
+    pub step: u32,
+    /// Whether it is an answer.
+    pub answer: bool,
+    /// The key.
+    pub key: String,
+    /// A version.
+    pub version: Version,
+    /// A value.
+    pub value: Option<String>,
+}
+
+/// Longest message, as it goes over a connection.
+const MESSAGE_MOST: usize = 6 * VALUE_MOST + 4096;
+
+impl Message {
+    /// Its bytes: a length of four bytes, most significant first, and JSON.
+    pub fn encode(&self) -> Vec<u8> {
+        let text = json::to_string(self);
+        let mut out = (text.len() as u32).to_be_bytes().to_vec();
+        out.extend(text.into_bytes());
+        out
+    }
+
+    /// Takes the next message from the front of a buffer, if all of it is there. An error ends the connection.
+    pub fn decode(buffer: &mut Vec<u8>) -> Result<Option<Message>, StoreError> {
+        let Some(head) = buffer.get(..4).and_then(|head| <[u8; 4]>::try_from(head).ok()) else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(head) as usize;
+        if length > MESSAGE_MOST {
+            return Err(StoreError::Limits);
+        }
+        let Some(body) = buffer.get(4..4 + length) else { return Ok(None) };
+        let text = std::str::from_utf8(body).map_err(|_| StoreError::Damaged)?;
+        let message = json::from_str(text).map_err(|_| StoreError::Damaged)?;
+        buffer.drain(..4 + length);
+        Ok(Some(message))
+    }
+}
+
+/// How an operation ended well: the version, and the value that is now at a majority.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Done {
+    /// Which key.
+    pub key: String,
+    /// The version.
+    pub version: Version,
+    /// The value; none where the key was never written.
+    pub value: Option<String>,
+}
+
+/// An operation under way: what is sent goes to all nodes, this one included.
+#[derive(Debug)]
+pub struct Operation {
+    id: u64,
+    key: String,
+    write: Option<String>,
+    node: u32,
+    nodes: usize,
+    floor: u64,
+    step: u32,
+    heard: BTreeSet<u32>,
+    best: (Version, Option<String>),
+}
+
+impl Operation {
+    /// Begins a read, or with a value a write, among so many nodes; gives the first message. A write counts
+    /// from `floor` on, the wall time: a node that restarted with nothing must not use a version again that
+    /// its former self left at a minority. One node has one operation on a key at a time.
+    pub fn begin(
+        id: u64,
+        key: &str,
+        write: Option<String>,
+        (node, nodes): (u32, usize),
+        floor: u64,
+    ) -> (Operation, Message) {
+        let (key, heard, best) = (key.to_string(), BTreeSet::new(), (Version::default(), None));
+        let operation = Operation { id, key, write, node, nodes, floor, step: 1, heard, best };
+        let message = operation.message(None);
+        (operation, message)
+    }
+
+    fn message(&self, value: Option<String>) -> Message {
+        let (operation, step, key) = (self.id, self.step, self.key.clone());
+        Message { operation, step, answer: false, key, version: self.best.0, value }
+    }
+
+    /// Takes a node's answer; gives the next message to all, or the end.
+    pub fn take(&mut self, from: u32, answer: Message) -> Option<Result<Done, Message>> {
+        // Guards against a late answer of the first step, or a second one of a node, making a majority.
+        if !answer.answer
+            || answer.operation != self.id
+            || answer.step != self.step
+            || !self.heard.insert(from)
+        {
+            return None;
+        }
+        if self.step == 1 && answer.version > self.best.0 {
+            self.best = (answer.version, answer.value);
+        }
+        if self.heard.len() <= self.nodes / 2 {
+            return None;
+        }
+        if self.step == 1 {
+            if let Some(value) = self.write.take() {
+                let version = Version {
+                    counter: self.floor.max(self.best.0.counter.saturating_add(1)),
+                    node: self.node,
+                };
+                self.best = (version, Some(value));
+            }
+            if self.best.1.is_some() {
+                (self.step, self.heard) = (2, BTreeSet::new());
+                return Some(Err(self.message(self.best.1.clone())));
+            }
+        }
+        let (version, value) = self.best.clone();
+        self.step = 3; // nothing more is taken
+        Some(Ok(Done { key: self.key.clone(), version, value }))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Plays an operation of a node among those that can be reached.
+    fn play(nodes: &mut [Registers], node: u32, write: Option<&str>, reach: &[usize]) -> Option<Done> {
+        let (mut operation, mut message) =
+            Operation::begin(9, "k", write.map(String::from), (node, nodes.len()), 0);
+        loop {
+            let mut next = None;
+            for at in reach {
+                let Some(answer) = nodes[*at].serve(&message) else { continue };
+                match operation.take(*at as u32, answer) {
+                    Some(Ok(done)) => return Some(done),
+                    Some(Err(message)) => next = Some(message),
+                    None => {}
+                }
+            }
+            message = next?;
+        }
+    }
+
+    fn three() -> Vec<Registers> {
+        (0..3).map(|_| Registers::in_memory()).collect()
+    }
+
+    #[test]
+    fn a_read_after_a_write_sees_it_over_any_majority() {
+        let mut nodes = three();
+        assert_eq!(play(&mut nodes, 0, None, &[0, 2]).map(|done| done.value), Some(None));
+        assert!(play(&mut nodes, 0, Some("one"), &[0, 1]).is_some());
+        assert!(play(&mut nodes, 2, Some("two"), &[2, 1]).is_some_and(|done| done.version.counter == 2));
+        for reach in [[0, 1], [0, 2], [1, 2]] {
+            let read = play(&mut nodes, 0, None, &reach).and_then(|done| done.value);
+            assert_eq!(read.as_deref(), Some("two"), "{reach:?}");
+        }
+    }
+
+    /// A write that reached one node only: once a read has returned it, no later read may miss it.
+    #[test]
+    fn a_read_writes_back_what_it_returns() {
+        let mut nodes = three();
+        assert!(nodes[2].put("k", Version { counter: 1, node: 2 }, "half").is_ok());
+        assert_eq!(play(&mut nodes, 0, None, &[1, 2]).and_then(|done| done.value).as_deref(), Some("half"));
+        assert_eq!(play(&mut nodes, 0, None, &[0, 1]).and_then(|done| done.value).as_deref(), Some("half"));
+    }
+
+    #[test]
+    fn no_majority_is_no_answer_and_equal_counters_go_by_node() {
+        let mut nodes = three();
+        assert_eq!(play(&mut nodes, 0, Some("one"), &[0]), None);
+        assert_eq!(play(&mut nodes, 0, None, &[1]), None);
+        let mut register = Registers::in_memory();
+        for (node, value) in [(1, "b"), (0, "a"), (1, "c")] {
+            assert!(register.put("k", Version { counter: 1, node }, value).is_ok());
+        }
+        assert_eq!(register.get("k").1, Some("b"), "neither a lower node nor the same version again");
+    }
+
+    #[test]
+    fn an_answer_counts_once_and_in_its_step() {
+        let (mut operation, asked) = Operation::begin(1, "k", Some("v".into()), (0, 3), 0);
+        let answer = Message { answer: true, ..asked };
+        assert!(operation.take(0, answer.clone()).is_none());
+        assert!(operation.take(0, answer.clone()).is_none(), "the same node twice is no majority");
+        assert!(matches!(operation.take(1, answer.clone()), Some(Err(_))));
+        assert!(operation.take(2, answer.clone()).is_none(), "of the first step, in the second");
+        let other = Message { operation: 2, step: 2, ..answer };
+        assert!(operation.take(2, other).is_none(), "of another operation");
+    }
+
+    #[test]
+    fn a_data_folder_keeps_registers_and_a_damaged_file_is_an_error() {
+        let folder = std::env::temp_dir().join(format!("wharfhub-store-{}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        let version = Version { counter: 3, node: 1 };
+        Registers::open(&folder).unwrap().put("k", version, "kept \"so\"").unwrap();
+        assert_eq!(Registers::open(&folder).unwrap().get("k"), (version, Some("kept \"so\"")));
+        let path = folder.join(FILE_NAME);
+        let text = fs::read_to_string(&path).unwrap();
+        for damaged in [text.replace("kept", "bent"), text[..text.len() / 2].to_string(), String::new()] {
+            fs::write(&path, damaged).unwrap();
+            assert!(matches!(Registers::open(&folder), Err(StoreError::Damaged)));
+        }
+        fs::remove_dir_all(&folder).unwrap();
+        let mut gone = Registers { folder: Some(folder), ..Registers::default() };
+        assert!(matches!(gone.put("k", version, "v"), Err(StoreError::Disk(_))));
+        assert_eq!(gone.get("k").1, None, "not on disk, so not told");
+    }
+
+    #[test]
+    fn messages_come_whole_or_not_at_all() {
+        let sent =
+            Message { operation: 7, key: "k".into(), value: Some("a\nb".into()), ..Message::default() };
+        let bytes = sent.encode();
+        let mut buffer = Vec::new();
+        for byte in &bytes[..bytes.len() - 1] {
+            buffer.push(*byte);
+            assert!(matches!(Message::decode(&mut buffer), Ok(None)));
+        }
+        buffer.push(bytes[bytes.len() - 1]);
+        assert_eq!(Message::decode(&mut buffer).unwrap(), Some(sent));
+        assert!(Message::decode(&mut vec![255; 8]).is_err());
+        assert!(Message::decode(&mut vec![0, 0, 0, 1, b'x']).is_err());
+    }
+}
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -4,15 +4,17 @@
 //! in what is expected `*` stands for anything. The words:
 //!
 //! - `leaf NAME CELL [opensearch]`: a stock box that listens; `box NAME CELL` one that nobody listens for.
-//! - `discovery`: a discovery that the script plays under that name. `set KEY JSON`: a key of the configuration.
+//! - `discovery`: a discovery that the script plays under that name. `set KEY JSON`: a key of the configuration,
+//!   in which `@NAME` stands for the address of `peer NAME` (a node of the store) or `udp NAME` (a VRRP router).
 //!   `edit OLD => NEW`: another value in the settings.
 //! - `start`: the program starts, knowing the boxes so far. `log TEXT`: waits until it has logged that.
 //! - `WHO > TEXT`, `WHO < TEXT`: bytes sent, bytes awaited (all that came since the last match). A box that
 //!   speaks frames names the frame's letter first. A name that is no box is a client and connects, to the
-//!   search API if it begins with `os`.
+//!   search API if it begins with `os`, to the store's listener if it begins with `node`.
 //!   `{id}` in what is awaited keeps what stands there, and `{id}` in what is sent puts it back.
 //! - `WHO takes`: the next connection, in place of the present one. `WHO shut`: half-close. `WHO close`.
 //!   `WHO ends`: the program closes its side. `NAME refuses`: nobody listens there any more.
+//! - `NAME tells HEX`, `NAME hears HEX`: a message of a VRRP router. `active`: the program listens for clients.
 //! - `term`: SIGTERM. `exits`: the program ends with 0.
 //!
 //! Nothing here sleeps, and no time is asserted: a wait that goes beyond `PATIENCE` is a failure.
@@ -20,7 +22,7 @@
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
@@ -39,6 +41,7 @@
     stream: Option<TcpStream>,
     got: Vec<u8>,
     id: String,
+    udp: Option<UdpSocket>,
 }
 
 struct Program {
@@ -46,6 +49,8 @@
     log: Receiver<String>,
     address: SocketAddr,
     search: Option<SocketAddr>,
+    store: Option<SocketAddr>,
+    vrrp: Option<SocketAddr>,
 }
 
 impl Drop for Program {
@@ -155,14 +160,16 @@
         let (lines, log) = channel();
         let errors = BufReader::new(child.stderr.take().expect("piped"));
         std::thread::spawn(move || errors.lines().map_while(Result::ok).all(|line| lines.send(line).is_ok()));
-        let mut program = Program { child, log, address: ([127, 0, 0, 1], 0).into(), search: None };
-        let address = |line: String| {
-            let address = line.split("listens on ").nth(1).and_then(|rest| rest.split([' ', ',']).next());
-            address.and_then(|text| text.parse().ok()).expect("an address")
-        };
-        program.address = address(program.await_log("listens on "));
-        if self.set.contains_key("search") {
-            program.search = Some(address(program.await_log("search API")));
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut program = Program { child, log, address, search: None, store: None, vrrp: None };
+        if !self.set.contains_key("vrrp") {
+            program.active(self.set.contains_key("search"));
+        }
+        if self.set.contains_key("store") {
+            program.store = Some(program.await_address("store: node "));
+        }
+        if self.set.contains_key("vrrp") {
+            program.vrrp = Some(program.await_address("advertises from "));
         }
         let _ = std::fs::remove_file(path);
         self.program = Some(program);
@@ -172,16 +179,29 @@
         if !self.peers.contains_key(name) {
             let program = self.program.as_ref().expect("started");
             let search = program.search.filter(|_| name.starts_with("os"));
-            let address = search.unwrap_or(program.address);
+            let store = program.store.filter(|_| name.starts_with("node"));
+            let (frames, address) = (store.is_some(), search.or(store).unwrap_or(program.address));
             let stream = TcpStream::connect(address).expect("a connection");
             stream.set_nodelay(true).expect("no delay");
-            self.peers.insert(name.into(), Peer { stream: Some(stream), ..Peer::default() });
+            self.peers.insert(name.into(), Peer { stream: Some(stream), frames, ..Peer::default() });
         }
         self.peers.get_mut(name).expect("inserted")
     }
 }
 
 impl Program {
+    fn active(&mut self, search: bool) {
+        self.address = self.await_address("start: ");
+        self.search = search.then(|| self.await_address("search API"));
+    }
+
+    fn await_address(&mut self, text: &str) -> SocketAddr {
+        let line = self.await_log(text);
+        let after = line.split(" on ").nth(1).or(line.split(" from ").nth(1));
+        let address = after.and_then(|rest| rest.split([' ', ',']).next());
+        address.and_then(|text| text.parse().ok()).expect("an address")
+    }
+
     fn await_log(&mut self, text: &str) -> String {
         loop {
             let line = self.log.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("never logged: {text}"));
@@ -275,7 +295,40 @@
             let peer = stage.listen(name, !search);
             (peer.cell, peer.search) = (cell.into(), search);
         }
-        ["set", key, value] => drop(stage.set.insert(key.into(), value.into())),
+        ["peer", name] => drop(stage.listen(name, true)),
+        ["udp", name] => {
+            let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+            socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+            let address = socket.local_addr().ok();
+            stage.peers.insert(name.into(), Peer { address, udp: Some(socket), ..Peer::default() });
+        }
+        ["set", key, value] => {
+            let mut value = value.to_string();
+            for (name, address) in stage.peers.iter().filter_map(|(name, peer)| Some((name, peer.address?))) {
+                value = value.replace(&format!("@{name}"), &address.to_string());
+            }
+            stage.set.insert(key.into(), value);
+        }
+        ["active"] => {
+            let search = stage.set.contains_key("search");
+            stage.program.as_mut().expect("started").active(search);
+        }
+        [who, "tells", text] => {
+            let address = stage.program.as_ref().and_then(|program| program.vrrp).expect("set up");
+            let socket = stage.peers[who].udp.as_ref().expect("a router");
+            socket.send_to(&bytes(text), address).expect("it leaves");
+        }
+        [who, "hears", text] => {
+            let mut buffer = [0; 2048];
+            loop {
+                let socket = stage.peers[who].udp.as_ref().expect("a router");
+                let count = socket.recv(&mut buffer).expect("it comes");
+                // Repeated advertisements are nothing new.
+                if buffer[..count] == bytes(text) {
+                    break;
+                }
+            }
+        }
         ["edit", _, _] => {
             let (old, new) = line[5..].split_once(" => ").expect("an arrow");
             let settings = stage.set.entry("settings".into()).or_insert_with(|| SETTINGS.into());
