Cut off a client that never stops sending after its last answer

Seen in review: read_client in src/net/mod.rs threw away what a lingering client sent until the socket was empty, and a client that sends faster than that kept the whole loop there, with every other request waiting. After 256 KiB it is dropped.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -37,6 +37,8 @@
 const LINGER_S: f64 = 1.0;
 /// What exits must wait for a last answer to be read, at most (seconds).
 const LAST_LINGER_S: f64 = 0.2;
+/// Bytes of a client that are thrown away after its last answer, at most.
+const THROWN_AWAY_MOST: usize = 256 * 1024;
 /// Connections to one replica, at most.
 const CONNS_A_REPLICA: usize = 8;
 /// Descriptors for anything but connections: standard ones, poll, listener, signals, spare.
@@ -227,6 +229,7 @@
     ended: bool, // its side is closed: nothing more comes, but it may still read
     close: bool, // after the answer
     told_to_go_on: bool,
+    thrown_away: usize,
     since: f64, // when its state began
 }
 
@@ -560,6 +563,7 @@
             ended: false,
             close: false,
             told_to_go_on: false,
+            thrown_away: 0,
             since: self.now,
         };
         let key = self.conns.insert(Conn::Client(Box::new(client)));
@@ -654,7 +658,13 @@
                     return self.drop_conn(key);
                 }
                 Ok(count) => {
-                    if client.state == ClientState::Reading {
+                    if client.state == ClientState::Lingering {
+                        // Guards the loop against a client that never stops sending after its last answer.
+                        client.thrown_away += count;
+                        if client.thrown_away > THROWN_AWAY_MOST {
+                            return self.drop_conn(key);
+                        }
+                    } else {
                         if client.idle() {
                             client.since = self.now;
                             self.agenda.add(self.now + REQUEST_S, Due::Conn(key));
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -13,7 +13,7 @@
 //!   search API if it begins with `os`, to the store's listener if it begins with `node`.
 //!   `{id}` in what is awaited keeps what stands there, and `{id}` in what is sent puts it back.
 //! - `WHO takes`: the next connection, in place of the present one. `WHO shut`: half-close. `WHO close`.
-//!   `WHO ends`: the program closes its side. `NAME refuses`: nobody listens there any more.
+//!   `WHO ends`: the program closes its side. `WHO floods`: sends until the program has had enough. `NAME refuses`: nobody listens there any more.
 //! - `NAME tells HEX`, `NAME hears HEX`: a message of a VRRP router. `active`: the program listens for clients.
 //! - `term`: SIGTERM. `exits`: the program ends with 0.
 //!
@@ -354,6 +354,11 @@
         [who, "<", text] => stage.peer(who).hear(text),
         [who, "takes"] => stage.peer(who).accept(),
         [who, "shut"] => stage.peer(who).stream().shutdown(Shutdown::Write).expect("half-closed"),
+        [who, "floods"] => {
+            let (stream, chunk) = (stage.peer(who).stream(), [b'x'; 1 << 16]);
+            let ended = (0..1 << 12).any(|_| stream.write_all(&chunk).is_err());
+            assert!(ended, "it took 256 MiB");
+        }
         [who, "close"] => stage.peer(who).stream = None,
         [who, "ends"] => stage.peer(who).ends(),
         [who, "refuses"] => stage.peer(who).listener = None,
