Pace calls to a discovery that does not wait; try again without an idle client on EMFILE

Seen in review: discovery_event in src/net/mod.rs asked again at once after every answer, so a discovery that answers without waiting, or tells no version, was called without end, and each answer deepened the stack through ask. It now pauses 0.1 s where nothing is new (0.5 s without a version), within the 200 ms that keep a watch. A connection to a replica or discovery that finds no descriptor sends an idle client away and is tried once more.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,6 +11,7 @@
 use miniserde::json::{Number, Object, Value};
 use mio::net::TcpStream;
 use std::collections::BTreeMap;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 
 /// How long a watch waits for news, and how much longer its answer may take (milliseconds, seconds).
@@ -190,6 +191,8 @@
     pub reader: Reader,
     /// Whether it has come up.
     pub up: bool,
+    /// When the call was made.
+    pub asked_at: f64,
     /// When the answer is overdue.
     pub due: f64,
 }
@@ -198,7 +201,21 @@
     /// A connection that is on its way.
     pub fn new(stream: TcpStream) -> DiscoveryConn {
         let reader = Reader::responses(LIST_MOST);
-        DiscoveryConn { stream, out: Vec::new(), inbuf: Vec::new(), reader, up: false, due: f64::MAX }
+        let (out, inbuf) = (Vec::new(), Vec::new());
+        DiscoveryConn { stream, out, inbuf, reader, up: false, asked_at: 0.0, due: f64::MAX }
+    }
+
+    /// Writes what the socket takes, once it has come up.
+    pub fn flush(&mut self) -> io::Result<()> {
+        while self.up && !self.out.is_empty() {
+            match self.stream.write(&self.out) {
+                Ok(count) => drop(self.out.drain(..count)),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -49,6 +49,8 @@
 const IDLE_SHARE: f64 = 0.8;
 /// Where nobody else asks again, a failed call to discovery is repeated after this time (seconds).
 const ASK_AGAIN_S: f64 = 0.5;
+/// An answer of discovery that brings nothing new within this time did not wait; the next call does (seconds).
+const SOON_S: f64 = 0.1;
 /// Log lines in a second, at most.
 const LINES_MOST: u32 = 50;
 /// The clock starts here, so that a replica's start before ours is still a time after 0 (seconds).
@@ -900,6 +902,16 @@
         }
     }
 
+    /// Guards the sockets to replicas and discovery where descriptors are fewer than we were told: an idle
+    /// client goes, and the connection is tried once more.
+    fn without_a_client(&mut self, to: SocketAddr, error: io::Error) -> io::Result<TcpStream> {
+        if matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::NetworkUnreachable) {
+            return Err(error);
+        }
+        self.evict();
+        TcpStream::connect(to)
+    }
+
     fn open_leaf(&mut self, replica: ReplicaId, to: SocketAddr, speech: Speech) -> Option<ConnKey> {
         if self.leaves >= self.leaves_most {
             // The connection unused for the longest makes room.
@@ -910,7 +922,7 @@
             let oldest = self.conns.iter().filter_map(unused).min_by(|a, b| a.0.total_cmp(&b.0));
             self.drop_conn(oldest?.1);
         }
-        let stream = match TcpStream::connect(to) {
+        let stream = match TcpStream::connect(to).or_else(|error| self.without_a_client(to, error)) {
             Ok(stream) => stream,
             Err(error) => {
                 self.log(&format!("replica {replica:?}: {error}"));
@@ -1006,25 +1018,27 @@
         let Some(address) = self.discovery else { return };
         let key = match self.asking {
             Some(key) => key,
-            None => match TcpStream::connect(address) {
-                Ok(stream) => {
-                    let key = self.conns.insert(Conn::Discovery(Box::new(DiscoveryConn::new(stream))));
-                    self.asking = Some(key);
-                    self.register(key);
-                    key
+            None => {
+                match TcpStream::connect(address).or_else(|error| self.without_a_client(address, error)) {
+                    Ok(stream) => {
+                        let key = self.conns.insert(Conn::Discovery(Box::new(DiscoveryConn::new(stream))));
+                        self.asking = Some(key);
+                        self.register(key);
+                        key
+                    }
+                    Err(error) => return self.list_failed(&error.to_string()),
                 }
-                Err(error) => return self.list_failed(&error.to_string()),
-            },
+            }
         };
         let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) else { return };
         if conn.due < f64::MAX {
             return;
         }
         conn.out = discovery::call(&address.to_string(), self.revision);
-        conn.due = self.now + discovery::ANSWER_WITHIN_S;
+        (conn.asked_at, conn.due) = (self.now, self.now + discovery::ANSWER_WITHIN_S);
         self.agenda.add(conn.due, Due::Conn(key));
-        if conn.up {
-            self.discovery_event(key);
+        if let Err(error) = conn.flush() {
+            self.end_discovery(key, &error.to_string());
         }
     }
 
@@ -1037,13 +1051,8 @@
                 Err(error) => return self.end_discovery(key, &error.to_string()),
             }
         }
-        while !conn.out.is_empty() {
-            match conn.stream.write(&conn.out) {
-                Ok(count) => drop(conn.out.drain(..count)),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => return self.end_discovery(key, &error.to_string()),
-            }
+        if let Err(error) = conn.flush() {
+            return self.end_discovery(key, &error.to_string());
         }
         let mut buffer = [0; 16 * 1024];
         let message = loop {
@@ -1062,12 +1071,23 @@
             }
         };
         let list = discovery::answer(&message);
+        let at_once = self.now < conn.asked_at + SOON_S;
         conn.due = f64::MAX;
         if !message.keep_alive {
             self.drop_conn(key);
         }
+        let before = self.revision;
         match list {
-            Some(list) if self.take_list(&list) => self.ask(),
+            Some(list) if self.take_list(&list) => {
+                // Guards discovery against calls without end, where it does not wait or tells no version. The
+                // watch goes on all the same: the next call is due within 200 ms.
+                if at_once && self.revision == before {
+                    let pause = if self.revision.is_none() { ASK_AGAIN_S } else { SOON_S };
+                    self.agenda.add(self.now + pause, Due::Ask);
+                } else {
+                    self.ask();
+                }
+            }
             _ => self.end_discovery(key, "no list"),
         }
     }
