--- a/src/settings.rs
+++ b/src/settings.rs
@@ -374,6 +374,8 @@
         let json = self.json;
         let store = json.store.map(|store| store.setup()).transpose()?;
         let vrrp = json.vrrp.map(|vrrp| vrrp.setup()).transpose()?;
+        // What the operator stored comes before the file, where a data folder kept it.
+        let stored = store.as_ref().and_then(|store| store.registers.get("settings").1).map(String::from);
         let seed = json.seed.as_deref().unwrap_or_default();
         Ok(Options {
             name: json.name.unwrap_or_else(|| "wharfhub".into()),
@@ -391,7 +393,10 @@
             vrrp,
             known: json.known,
             drain_s: json.drain_s.filter(|time| *time >= 0.0).unwrap_or(DRAIN_S),
-            deployment: json.settings.deployment()?,
+            deployment: match stored {
+                Some(text) => decode(text.as_bytes())?,
+                None => json.settings.deployment()?,
+            },
         })
     }
 }
@@ -436,3 +441,28 @@
         Ok(VrrpSetup { router, listen, peers })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Settings that the store's data folder kept come before those of the file.
+    #[test]
+    fn stored_settings_come_before_the_file() {
+        let folder = std::env::temp_dir().join(format!("wharfhub-settings-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let settings =
+            |name: &str| format!(r#"{{"categories":[{{"name":"{name}","aimS":1.0,"giveUpS":2.0}}]}}"#);
+        let config = || {
+            let store = format!(r#"{{"node":1,"listen":"127.0.0.1:0","folder":{folder:?},"peers":[]}}"#);
+            let file = settings("file");
+            let text = format!(r#"{{"listen":"127.0.0.1:0","store":{store},"settings":{file}}}"#);
+            Config::decode(text.as_bytes()).unwrap().options().unwrap().deployment.classes
+        };
+        assert_eq!(config(), ["file"]);
+        let version = crate::store::Version { counter: 1, node: 1 };
+        Registers::open(&folder).unwrap().put("settings", version, &settings("stored")).unwrap();
+        assert_eq!(config(), ["stored"]);
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
