Close idle connections before a trial only at boxes that were silent

Nine boxes that fail 80% of their parts were tried again every 0.5 to 4 s by each mixer. Ruled out: the box's own idle limit (0 closed), mixers' restarts (4,200), our idle limit (30). To blame: send() in src/logic.rs, which closed the idle connection before every part to a barred box. Change: a replica remembers whether what ended last was answered at all; only silence closes.

--- a/src/held.rs
+++ b/src/held.rs
@@ -50,6 +50,7 @@
     pub(crate) calls: Vec<Call>, // calls that still have a part out
     pub(crate) lost_idle: Option<f64>, // how long the connection had been idle on which a part was lost
     pub(crate) used_at: Option<f64>, // when a part was last sent there or ended
+    pub(crate) answers: bool,  // whether what ended last was answered, well or not
     pub(crate) luck: f64,      // drawn anew for each window of the cold rule, at a phase of its own
     pub(crate) luck_until: f64,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -653,7 +653,9 @@
         let unused = replica.used_at.filter(|_| replica.out == 0);
         let mut idle = unused.map_or(0.0, |at| self.now - at);
         let reaped = self.now < self.reap.1 && idle >= 0.8 * self.reap.0;
-        if idle > 0.0 && (reaped || query.broke_at.is_some() || replica.barred(class)) {
+        // A box that failed fast has answered: its connection is sound, and a new one costs it a handshake.
+        let silent = replica.barred(class) && !replica.answers;
+        if idle > 0.0 && (reaped || query.broke_at.is_some() || silent) {
             out.push(Action::CloseIdle { replica: target });
             idle = 0.0;
         }
@@ -908,6 +910,7 @@
             }
         }
         replica.used_at = Some(now);
+        replica.answers = matches!(outcome, Outcome::Ok | Outcome::Matches | Outcome::Error | Outcome::Full);
         let lane = &mut replica.known.lanes[at];
         let delay = match outcome {
             Outcome::Ok | Outcome::Matches => {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -574,6 +574,29 @@
     assert!(closed < 40, "{closed} of some 120 sends");
 }
 
+/// Found in a large fleet with boxes that fail fast: each trial closed a sound connection first, and the boxes spent
+/// on handshakes, from all mixers, what they could have served.
+#[test]
+fn a_trial_of_what_failed_fast_keeps_its_connection() {
+    let mut driver = Driver::new(settings(class()), &[replica(1), replica(2)]);
+    (1..40).for_each(|id| drop(driver.round_trip(id, 0, 0.05)));
+    let (mut tried, mut closed) = (0, 0);
+    for id in 100..200 {
+        let out = driver.query(id, &[0], 3.0);
+        let (part, at) = sends(&out)[0];
+        closed += usize::from(out.contains(&Action::CloseIdle { replica: ReplicaId(1) }));
+        tried += usize::from(at == ReplicaId(1));
+        let (took, ends) = if at == ReplicaId(1) { (0.01, Outcome::Error) } else { (0.2, OK) };
+        driver.pass(took);
+        for (part, other) in sends(&driver.end(part, 0, at, took, ends)) {
+            driver.end(part, 1, other, 0.2, OK);
+        }
+        driver.pass(0.1);
+    }
+    assert!(tried > 4, "more often than it takes to be barred: {tried}");
+    assert_eq!(closed, 0);
+}
+
 /// Parts of one query that a replica can hold together share a call, whose own work is then paid once.
 #[test]
 fn neighbouring_parts_share_calls_where_calls_cost_work() {
