--- /dev/null
+++ b/src/choices/connections.rs
@@ -0,0 +1,55 @@
+//! Connections to boxes: how many, and when one that is silent is doubted.
+//!
+//! This file owns what a mixer asks of a box in connections, so that all mixers of a fleet together leave the box
+//! its room and its time. It must never open or close one, never read a clock, and never choose the box.
+
+/// Silence for this share of the shortest aim raises no doubt yet.
+const OF_AIM: f64 = 0.25;
+/// Nor does silence for so many times what nearly all answers take. Guards boxes that are merely slow, under all
+/// mixers at once, against a second connection from each.
+const OF_LATE: f64 = 1.5;
+/// Connections to one box that all mixers together open, if each of them opens as many as it may; and how many a mixer
+/// may open at least (one beside one that is doubted) and at most. Guards the room that a box has for connections,
+/// which nothing tells.
+const TOGETHER: u32 = 200;
+const EACH: (u32, u32) = (2, 8);
+
+/// When to doubt a connection on which something was asked and nothing has come since (seconds of silence).
+pub fn doubt_s(shortest_aim_s: f64, late_s: f64) -> f64 {
+    let late_s = if late_s.is_finite() { late_s } else { 0.0 };
+    (OF_AIM * shortest_aim_s).max(OF_LATE * late_s)
+}
+
+/// How many connections a mixer may have to one box, among so many mixers.
+pub fn most(mixers: u32) -> usize {
+    (TOGETHER / mixers.max(1)).clamp(EACH.0, EACH.1) as usize
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Found in a fleet of 100 mixers: at 75 ms of silence each opened another connection to boxes that were slow.
+    #[test]
+    fn what_is_as_late_as_nearly_all_is_not_doubted() {
+        assert!(doubt_s(0.3, 0.6) > 0.6);
+        assert!(doubt_s(0.3, 0.6) < 1.2, "a connection that is lost is noticed all the same");
+    }
+
+    #[test]
+    fn where_answers_are_swift_or_unknown_the_aim_decides() {
+        assert_eq!(doubt_s(0.4, 0.01), 0.1);
+        assert_eq!(doubt_s(0.4, f64::INFINITY), 0.1);
+    }
+
+    /// A box for a thousand connections has room for all mixers; few mixers may use more of it.
+    #[test]
+    fn all_mixers_together_leave_a_box_room() {
+        assert_eq!(most(2), 8);
+        for mixers in [25, 48, 100, 300] {
+            assert!(most(mixers) * mixers as usize <= 600, "{mixers}: {}", most(mixers));
+            assert!(most(mixers) >= 2, "one may be doubted");
+        }
+        assert_eq!(most(0), 8);
+    }
+}
--- a/src/choices/mod.rs
+++ b/src/choices/mod.rs
@@ -1,4 +1,5 @@
 //! Choices beside the decision module's, one file a subject: pure, without I/O and clock, time passed in.
 
+pub mod connections;
 pub mod idle;
 pub mod phases;
--- a/src/core.rs
+++ b/src/core.rs
@@ -436,6 +436,11 @@
         self.module.avoided()
     }
 
+    /// Within what time nearly all answers come, of the slowest class (seconds).
+    pub fn late_s(&self) -> f64 {
+        self.module.past.latencies.iter().map(|latencies| latencies.late).fold(0.0, f64::max)
+    }
+
     /// Requests that have no final answer yet.
     pub fn open(&self) -> usize {
         self.requests.len()
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -77,7 +77,7 @@
     queries: BTreeMap<QueryId, Query>,
     numbers: BTreeMap<u32, QueryId>,
     parts: BTreeMap<PartId, Part>, // parts of open queries, and ended ones with attempts still out
-    past: Past,
+    pub(crate) past: Past,
     kept_s: f64, // how long these times are kept
     ask_at: Option<f64>,
     ask_wait: f64,
@@ -126,11 +126,6 @@
         }
     }
 
-    /// How many replicas are remembered, gone ones included.
-    pub fn remembered(&self) -> usize {
-        self.replicas.len()
-    }
-
     /// How many listed replicas get nothing new now but trials: they drain, or are barred for every class.
     pub fn avoided(&self) -> usize {
         let barred = |replica: &Replica| (0..replica.known.lanes.len()).all(|class| replica.barred(class));
--- a/src/net/leaf.rs
+++ b/src/net/leaf.rs
@@ -85,7 +85,6 @@
     recent: VecDeque<(String, bool)>, // ids of parts that are over, and whether they were asked ahead
     begun_at: Option<f64>,            // since when an answer is there in part
     asked_at: Option<f64>,            // since when something was asked and nothing heard
-    doubt_s: f64,
     spoilt: Option<Option<AttemptKey>>, // what came can't be read; and whose answer it was, if that is known
     frames: VecDeque<Frame>,
     sent: usize, // bytes of the first frame that have left
@@ -198,7 +197,7 @@
         address: SocketAddr,
         speech: Speech,
         shards: u32,
-        (waiting_most, doubt_s): (usize, f64),
+        waiting_most: usize,
         now: f64,
     ) -> LeafConn {
         LeafConn {
@@ -215,7 +214,6 @@
             recent: VecDeque::new(),
             begun_at: None,
             asked_at: None,
-            doubt_s,
             spoilt: None,
             reader: Reader::responses(FRAME_MOST),
             frames: VecDeque::new(),
@@ -243,10 +241,10 @@
         self.recent.push_back((over.id, over.ahead));
     }
 
-    /// Whether it has been silent for so many times what raises a doubt, since something was asked on it. What
-    /// was given up without an answer leaves the doubt.
-    pub fn in_doubt(&self, now: f64, times: f64) -> bool {
-        self.up && self.asked_at.is_some_and(|at| now > at + times * self.doubt_s)
+    /// Whether it has been silent for so long since something was asked on it. What was given up without an
+    /// answer leaves the doubt.
+    pub fn in_doubt(&self, now: f64, silence_s: f64) -> bool {
+        self.up && self.asked_at.is_some_and(|at| now > at + silence_s)
     }
 
     /// It stays silent while the replica answers elsewhere: what is out on it is called off, without blame.
@@ -279,13 +277,13 @@
 
     /// Whether these parts may go out on it: there is room, no answer is stuck half-way, and none of their ids
     /// is out on it already, for an answer names the part and not the attempt.
-    pub fn takes(&mut self, parts: &[CallPart], streams_most: usize, now: f64) -> bool {
+    pub fn takes(&mut self, parts: &[CallPart], streams_most: usize, now: f64, doubt_s: f64) -> bool {
         let most = if self.speech == Speech::Search { 1 } else { streams_most };
         // A call wider than a connection's limit goes out on an empty one; its rest waits unread.
         let carried = self.carries(now);
         let room = carried == 0 || carried + parts.len() <= most;
         let same = |part: &CallPart| self.streams.iter().any(|stream| stream.id == part_id(part));
-        let sound = self.begun_at.is_none() && !self.in_doubt(now, 1.0);
+        let sound = self.begun_at.is_none() && !self.in_doubt(now, doubt_s);
         room && self.waiting <= self.waiting_most && sound && !parts.iter().any(same)
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,7 +25,6 @@
 use leaf::LeafConn;
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Token};
-use replicas::doubt_of;
 use slotmap::{Key, KeyData, SecondaryMap, SlotMap};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
@@ -212,7 +211,6 @@
     leaves: usize,
     leaves_most: usize,
     waiting_most: usize, // bytes that may wait to be written to one replica's connection
-    doubt_s: f64,        // silence of such a connection that makes us doubt it
     lines: (f64, u32),
     search_tenant: Option<String>,
     last_search: u64,
@@ -254,7 +252,6 @@
         let other = OTHER_DESCRIPTORS + if inherited.is_some() { handover::DESCRIPTORS } else { 0 };
         let usable = options.sockets.saturating_sub(other).max(8);
         let leaves_most = (usable / 3).max(4);
-        let doubt_s = doubt_of(&deployment);
         let mut mixer = Mixer {
             poll,
             name: options.name,
@@ -294,7 +291,6 @@
             leaves: 0,
             leaves_most,
             waiting_most: (options.memory / 8 / leaves_most).clamp(WAITING_LEAST, WAITING_MOST),
-            doubt_s,
             lines: (now, 0),
             search_tenant: options.search_tenant,
             last_search: 0,
@@ -560,7 +556,6 @@
 
     fn take_settings(&mut self) {
         let Some(deployment) = self.coming.take() else { return };
-        self.doubt_s = doubt_of(&deployment);
         self.directory.set_zones(deployment.zones.clone());
         self.deployment = deployment.clone();
         self.core.reconfigure(self.now, deployment, &mut self.commands);
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -7,18 +7,12 @@
 use super::leaf::{LeafConn, Said, Speech};
 use super::{came_up, Conn, ConnKey, Due, Mixer, IDLE_SHARE, STYLES};
 use crate::api::{Outcome, ReplicaId};
+use crate::choices::connections;
 use crate::core::{AttemptKey, CallPart};
-use crate::settings::Deployment;
 use mio::net::TcpStream;
 use std::io;
 use std::net::SocketAddr;
 
-/// A connection to a replica on which something was asked and nothing heard for this share of the shortest aim is
-/// doubted: nothing new goes there. After twice that it is over, if the replica answers on another one.
-const DOUBT: f64 = 0.25;
-/// Connections to one replica, at most.
-const CONNS_A_REPLICA: usize = 8;
-
 impl Mixer {
     /// Sends a call on a connection that takes it, or on a new one.
     pub(super) fn call(&mut self, replica: ReplicaId, mut parts: Vec<CallPart>) {
@@ -27,7 +21,7 @@
         if parts.is_empty() {
             return;
         }
-        let (most, now) = (self.deployment.streams_per_conn, self.now);
+        let (most, now, doubt_s) = (self.deployment.streams_per_conn, self.now, self.doubt_s());
         let Some(member) = self.directory.member(replica) else { return self.unsent(&parts, false) };
         let (address, speech, ready) = (member.address, member.speech, member.ready);
         if speech == Speech::Search && parts.len() > 1 {
@@ -38,7 +32,7 @@
         // Guards against connections that fell silent: new parts would be lost there one after the other, and the
         // replica, which may be sound, be taken for dead.
         conns.retain(|key| {
-            let silent = |leaf: &LeafConn| leaf.in_doubt(now, 1.0) && leaf.unused();
+            let silent = |leaf: &LeafConn| leaf.in_doubt(now, doubt_s) && leaf.unused();
             let over = matches!(self.conns.get(*key), Some(Conn::Leaf(leaf)) if silent(leaf));
             if over {
                 self.drop_conn(*key);
@@ -51,7 +45,7 @@
             // What drains gets something new for a short while yet, but only at once: a connection that is still
             // on its way, or has bytes waiting, could bring it there too late.
             let at_once = ready || (leaf.up && leaf.idle_out());
-            if Some(leaf.address) == address && at_once && leaf.takes(&parts, most, now) {
+            if Some(leaf.address) == address && at_once && leaf.takes(&parts, most, now, doubt_s) {
                 // One that is up is taken before one that is on its way.
                 if chosen.is_none_or(|(up, _)| leaf.up && !up) {
                     chosen = Some((leaf.up, *key));
@@ -61,7 +55,8 @@
         let key = match chosen {
             Some((_, key)) => key,
             None => {
-                let most = if speech == Speech::Search { most } else { CONNS_A_REPLICA };
+                let each = connections::most(self.deployment.policy.aggregators);
+                let most = if speech == Speech::Search { most } else { each };
                 let room = ready && conns.len() < most;
                 let opened = address.filter(|_| room).and_then(|to| self.open_leaf(replica, to, speech));
                 match opened {
@@ -137,7 +132,7 @@
             to,
             speech,
             self.deployment.shards,
-            (self.waiting_most, self.doubt_s),
+            self.waiting_most,
             self.now,
         ))));
         self.leaves += 1;
@@ -190,9 +185,10 @@
     /// The replica answers, so a connection of it that has long been silent is at fault itself.
     pub(super) fn end_silent(&mut self, replica: ReplicaId) {
         let conns = self.directory.member(replica).map(|member| member.conns.clone()).unwrap_or_default();
+        let silence_s = 2.0 * self.doubt_s();
         for key in conns {
             let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { continue };
-            if leaf.in_doubt(self.now, 2.0) {
+            if leaf.in_doubt(self.now, silence_s) {
                 leaf.abandon();
                 self.end_leaf(key, "silent while another answers");
             }
@@ -225,6 +221,12 @@
         }
     }
 
+    /// Silence of a replica's connection that makes us doubt it now (seconds).
+    fn doubt_s(&self) -> f64 {
+        let aims = self.deployment.policy.classes.iter().map(|class| class.aim_s);
+        connections::doubt_s(aims.fold(f64::MAX, f64::min), self.core.late_s())
+    }
+
     pub(super) fn close_idle(&mut self, replica: ReplicaId) {
         let conns = self.directory.member(replica).map(|member| member.conns.clone()).unwrap_or_default();
         for key in conns {
@@ -234,9 +236,3 @@
         }
     }
 }
-
-/// Silence of a replica's connection that makes us doubt it (seconds).
-pub(super) fn doubt_of(deployment: &Deployment) -> f64 {
-    let aims = deployment.policy.classes.iter().map(|class| class.aim_s);
-    DOUBT * aims.fold(f64::MAX, f64::min)
-}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -921,7 +921,8 @@
         driver.list(false, &[replica(id), gone]);
         driver.pass(5.0);
     }
-    assert!(driver.aggregator.remembered() < 10, "{} remembered", driver.aggregator.remembered());
+    let remembered = driver.aggregator.beliefs().replicas.len();
+    assert!(remembered < 10, "{remembered} remembered");
 }
 
 /// The cold rule holds for what drains too: a last holder that has just started is not knocked over on its way out.
