Spread calls to discovery over the fleet, and let repeats back off with its size

Ruled out: discovery down (calls that it took were served at the same time); the cost of watches that go on (26 are answered at the same moment, without a queue). To blame: the first call at once and waits of at most 4 s in src/logic.rs. A call that times out has taken its turn all the same: 63 mixers at one call in 3.3 s ask 19 times a second of what can answer 18. Change: src/choices/asking.rs, pure. First calls are spread over 0.05 s for each mixer (at once where there is no list at all), repeats start from that time and double, further where discovery let the call wait first; never beyond what the settings allow.

--- a/src/choices/mod.rs
+++ b/src/choices/mod.rs
@@ -1,5 +1,6 @@
 //! Choices beside the decision module's, one file a subject: pure, without I/O and clock, time passed in.
 
+pub mod asking;
 pub mod connections;
 pub mod idle;
 pub mod phases;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,6 +1,7 @@
 //! Every decision of an aggregator, by one timer and the events of `src/api.rs`. Read from top to bottom.
 
 use crate::api::*;
+use crate::choices::asking::Asking;
 use crate::held::*;
 use crate::times::{self, Schedule};
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,7 +32,6 @@
 const COLD_MARGIN: f64 = 0.9; // share of what would push a cold replica over that we may give it
 const RATE_S: f64 = 8.0; // window over which the aggregator's own sending rate is taken (seconds)
 const WARY_S: f64 = 30.0; // queries are scouted for so long after a break, deadly ones remembered
-const ASK_AGAIN_S: (f64, f64) = (0.5, 4.0); // first and longest wait before the list is asked for again
 const IDLE_S: f64 = 0.25; // a connection unused for longer is idle
 const IDLE_LOSS: (f64, f64) = (0.1, 0.15); // step of the running share lost, and from when it is believed
 const WIDE: f64 = 0.5; // a query over more of the replicas is always scouted
@@ -78,9 +78,8 @@
     numbers: BTreeMap<u32, QueryId>,
     parts: BTreeMap<PartId, Part>, // parts of open queries, and ended ones with attempts still out
     pub(crate) past: Past,
-    kept_s: f64, // how long these times are kept
-    ask_at: Option<f64>,
-    ask_wait: f64,
+    kept_s: f64,            // how long these times are kept
+    asking: Option<Asking>, // where the list comes only to those who ask
     wary_until: f64,
     idle_loss: f64,                         // running share of parts lost on idle connections
     reap: (f64, f64), // idle time from which parts are lost, and until when that is believed
@@ -116,8 +115,7 @@
                 copies: f64::MAX,
                 ..Past::default()
             },
-            ask_at: settings.must_ask.then_some(now),
-            ask_wait: ASK_AGAIN_S.0,
+            asking: settings.must_ask.then(|| Asking::new(settings.aggregators, settings.ask_within_s, now)),
             wary_until: now,
             idle_loss: 0.0,
             reap: (f64::INFINITY, now),
@@ -191,7 +189,11 @@
         }
         match event {
             Event::List { full, entries } => self.take_list(full, &entries),
-            Event::ListFailed => self.list_failed(),
+            Event::ListFailed => {
+                if let Some(asking) = &mut self.asking {
+                    asking.failed(self.now, self.rng.rand_float());
+                }
+            }
             Event::Query(query) => self.take_query(query, out),
             Event::Part(part) => self.take_part(part, out),
             Event::AttemptEnded(end) => self.attempt_ended(end, out),
@@ -220,7 +222,7 @@
 
     /// All that depends on time: asking, prices, silence, overdue parts, answers that can wait no longer.
     fn sweep(&mut self, out: &mut Vec<Action>) {
-        if self.ask_at.take_if(|at| *at <= self.now).is_some() {
+        if self.asking.as_mut().is_some_and(|asking| asking.due(self.now)) {
             out.push(Action::Watch);
         }
         self.close_readings();
@@ -274,7 +276,9 @@
                 cell.push(entry.id);
             }
         }
-        self.ask_wait = ASK_AGAIN_S.0;
+        if let Some(asking) = &mut self.asking {
+            asking.told(now, self.rng.rand_float());
+        }
         self.look_ahead();
     }
 
@@ -328,13 +332,6 @@
         self.take_list(false, &[]); // who holds a shard may have changed
     }
 
-    /// A failed call is repeated after a jittered wait that doubles, well inside the ask limit.
-    fn list_failed(&mut self) {
-        let wait = self.ask_wait * (0.5 + self.rng.rand_float());
-        self.ask_at = self.cfg.must_ask.then_some(self.now + wait);
-        self.ask_wait = (self.ask_wait * 2.0).min(ASK_AGAIN_S.1).min(self.cfg.ask_within_s / 2.0);
-    }
-
     fn take_query(&mut self, new: NewQuery, out: &mut Vec<Action>) {
         let retry_after_s = COME_BACK_S.min(self.cfg.retry_after_s);
         let refusal = Action::Refuse { query: new.id, retry_after_s };
