Judge boxes against the average of recent answers, not of all that was ever heard

A mixer hears each box every 2 s, and its last word from the jam counts for 13 s. Ruled out: prices (0 in every lane: no lane ever fills a reading here); holders that are gone (refusals are spread over 40 boxes that answer). To blame: close_readings() in src/logic.rs made the average of what was last heard of each box, however long ago, and known_latency() let each box drift towards that. Change: the average moves with each answer, whichever box gave it, and fades in 0.5 s; a box is remembered by how much slower than that average it was. What slows all alike is known from others' answers, and is over with them.

--- a/src/api.rs
+++ b/src/api.rs
@@ -439,8 +439,8 @@
 pub struct Known {
     /// The start of the process that this is known of (0: long ago).
     pub started_at: f64,
-    /// Smoothed latency (seconds).
-    pub latency: Option<f64>,
+    /// Smoothed latency, in times the average of all replicas at that moment.
+    pub slower: Option<f64>,
     /// Running share of its attempts that failed.
     pub failing: f64,
     /// When it last answered.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,6 +16,7 @@
 const TOO_LATE: (f64, f64, f64) = (0.3, 0.8, 2.0); // shares of the time that refuse; s in which news fades
 const MOST_REFUSED: f64 = 0.95; // share of queries that it refuses at most
 const SMOOTHING: f64 = 0.3; // weight of a new answer in a replica's smoothed latency
+const AVERAGE: (f64, f64) = (0.5, 0.2); // the average fades in so many s; an answer's weight at most
 const FORGOTTEN: f64 = 0.05; // what has faded to this share is forgotten
 const FORGET: (f64, f64) = (1.0, 6.0); // what is known of a replica fades in so many s, and at least sends
 const OVERDUE: f64 = 1.1; // a part out for so many late latencies is overdue
@@ -69,11 +70,11 @@
     cells: Vec<Vec<ReplicaId>>, // replicas by cell, how many there are, and their average latency
     present: usize,
     average: f64,
-    alarmed: bool,     // a replica or lane may have been barred since the last sweep
-    heard: (f64, f64), // sum and number of the latencies that are known
+    alarmed: bool, // a replica or lane may have been barred since the last sweep
+    heard_at: f64, // when an answer last moved it
     readings: Schedule<(ReplicaId, usize)>, // when each lane's interval is over
     lots: Schedule<ReplicaId>, // when each replica's luck is drawn anew
-    memory_s: f64,     // what is known of a replica fades in this time
+    memory_s: f64, // what is known of a replica fades in this time
     queries: BTreeMap<QueryId, Query>,
     numbers: BTreeMap<u32, QueryId>,
     parts: BTreeMap<PartId, Part>, // parts of open queries, and ended ones with attempts still out
@@ -100,7 +101,7 @@
             present: 1,
             average: 1e-4,
             alarmed: false,
-            heard: (0.0, 0.0),
+            heard_at: 0.0,
             readings: Schedule::default(),
             lots: Schedule::default(),
             memory_s: FORGET.0,
@@ -284,11 +285,8 @@
 
     /// What falls due at each replica, and the sum of latencies, from what is known of all.
     fn look_ahead(&mut self) {
-        (self.heard, self.lots, self.readings) = Default::default();
+        (self.lots, self.readings) = Default::default();
         for (id, replica) in &self.replicas {
-            let known = replica.known.latency;
-            self.heard =
-                (self.heard.0 + known.unwrap_or(0.0), self.heard.1 + f64::from(u8::from(known.is_some())));
             self.lots.put(replica.luck_until, *id);
             let lanes = replica.known.lanes.iter().enumerate();
             lanes.for_each(|(class, lane)| self.readings.put(lane.over_at(), (*id, class)));
@@ -567,10 +565,11 @@
         (work + if joins { 0.0 } else { call / sharing }) / (work + call)
     }
 
-    /// Smoothed latency, drifting to the average while nothing is heard. Unheard replicas count as average.
+    /// The average latency now, times what a replica was lately slower; unheard ones count as average. Guards
+    /// where each is met seldom: what slows all is known from the others' answers, and is over with them.
     fn known_latency(&self, replica: &Replica) -> f64 {
-        let latency = replica.known.latency;
-        latency.map_or(self.average, |known| self.average + (known - self.average) * self.fresh(replica))
+        let slower = replica.known.slower.unwrap_or(1.0);
+        self.average * (1.0 + (slower - 1.0) * self.fresh(replica))
     }
 
     /// How much of what was heard of a replica still counts.
@@ -923,16 +922,20 @@
                 replica.known.bar.succeeded();
                 // A word tells the queue: an answer in full would have taken as much longer than its least.
                 let in_full = replica.known.lanes[class].least + took - least;
-                match at == class {
-                    true => replica.heard(now, took, &mut self.heard),
-                    false if in_full < f64::MAX => replica.heard(now, in_full, &mut self.heard),
-                    false => replica.known.heard_at = now,
+                let in_full = if at == class { took } else { in_full };
+                if in_full < f64::MAX {
+                    let weight = (1.0 - (-(now - self.heard_at) / AVERAGE.0).exp()).min(AVERAGE.1);
+                    let weight = if self.heard_at == 0.0 { 1.0 } else { weight };
+                    self.average = (self.average + weight * (in_full - self.average)).max(1e-4);
+                    self.heard_at = now;
+                    replica.heard(now, in_full / self.average);
                 }
+                replica.known.heard_at = now;
                 took - least
             }
             // A queue so full that it turns work away is an aim behind, though it says so fast.
             Outcome::Full => {
-                replica.heard(now, aim, &mut self.heard);
+                replica.heard(now, aim / self.average);
                 aim
             }
             Outcome::TimedOut | Outcome::Cancelled => {
@@ -941,8 +944,9 @@
                     self.alarmed = true;
                     lane.bar.failed(now, 1);
                 }
-                if replica.known.latency.is_none_or(|latency| took > latency) {
-                    replica.heard(now, took, &mut self.heard);
+                let slower = took.min(aim) / self.average;
+                if replica.known.slower.is_none_or(|known| slower > known) {
+                    replica.heard(now, slower);
                 }
                 return;
             }
@@ -980,7 +984,8 @@
                 self.alarmed = true;
                 let Some(replica) = self.replicas.get_mut(&attempt.replica) else { continue };
                 let lane = &mut replica.known.lanes[attempt.lane];
-                let limit = limits[attempt.lane].max(2.0 * replica.known.latency.unwrap_or(0.0));
+                let limit =
+                    limits[attempt.lane].max(2.0 * self.average * replica.known.slower.unwrap_or(0.0));
                 if !attempt.silent && self.now - sent_at > limit {
                     attempt.silent = true;
                     lane.bar.failed(self.now, if lane.heard_at > sent_at { 1 } else { FAILURES_TO_BAR });
@@ -999,7 +1004,6 @@
 
     /// Moves each price at the end of its interval: a proportional rise, a one-token fall.
     fn close_readings(&mut self) {
-        self.average = (self.heard.0 / f64::max(self.heard.1, 1.0)).max(1e-4);
         // Memory lasts for some parts asked of a replica, sent or refused: at size they are seconds apart.
         let asked = times::since(&self.past.accepted, self.now - RATE_S);
         self.memory_s = FORGET.0.max(FORGET.1 * RATE_S * self.present as f64 / asked.max(1) as f64);
@@ -1046,11 +1050,9 @@
 }
 
 impl Replica {
-    fn heard(&mut self, now: f64, took: f64, all: &mut (f64, f64)) {
-        let (before, new) = (self.known.latency.unwrap_or(took), self.known.latency.is_none());
-        let after = before + SMOOTHING * (took - before);
-        *all = if new { (all.0 + after, all.1 + 1.0) } else { (all.0 + after - before, all.1) };
-        (self.known.latency, self.known.heard_at) = (Some(after), now);
+    fn heard(&mut self, now: f64, slower: f64) {
+        let before = self.known.slower.unwrap_or(slower);
+        (self.known.slower, self.known.heard_at) = (Some(before + SMOOTHING * (slower - before)), now);
     }
 
     fn barred(&self, class: usize) -> bool {
