Room for a connection to each listed box, and no doubt from parts that were called off

Ruled out: the boxes' own idle limit (0 closed), resets (0 to 1), our idle limit (10,000 at 12 of 15 s: as the settings ask). To blame: leaves_most in src/net/mod.rs, which knew nothing of the list; LeafConn::give_up(), which kept the time of asking though nobody waited any more. Change: connections::shares() gives boxes as many connections as are listed and an eighth more, a third at least, and leaves clients a third at least. A silence counts only while something waits in it.

--- a/src/choices/connections.rs
+++ b/src/choices/connections.rs
@@ -1,4 +1,4 @@
-//! Connections to boxes: how many, and when one that is silent is doubted.
+//! Connections to boxes: how many, what is left for clients, and when one that is silent is doubted.
 //!
 //! This file owns what a mixer asks of a box in connections, so that all mixers of a fleet together leave the box
 //! its room and its time. It must never open or close one, never read a clock, and never choose the box.
@@ -13,6 +13,10 @@
 /// which nothing tells.
 const TOGETHER: u32 = 200;
 const EACH: (u32, u32) = (2, 8);
+/// Of all connections that a mixer may have, boxes have a third at least, and clients too.
+const LEAST_SHARE: usize = 3;
+/// Boxes have one for each that is listed, and one more for so many: some are doubted, some are being replaced.
+const SPARE: usize = 8;
 
 /// When to doubt a connection on which something was asked and nothing has come since (seconds of silence).
 pub fn doubt_s(shortest_aim_s: f64, late_s: f64) -> f64 {
@@ -25,10 +29,40 @@
     (TOGETHER / mixers.max(1)).clamp(EACH.0, EACH.1) as usize
 }
 
+/// How many connections clients and boxes may have, of so many, where so many boxes are listed. Guards boxes against
+/// a mixer that ends a sound connection to one for want of room, only to open it again a moment later.
+pub fn shares(usable: usize, boxes: usize) -> (usize, usize) {
+    let least = (usable / LEAST_SHARE).max(4);
+    let leaves = boxes.saturating_add(boxes / SPARE).clamp(least, usable.saturating_sub(least).max(least));
+    (usable.saturating_sub(leaves), leaves)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    /// Found in a fleet of 300: with room for 160 of 179 boxes each mixer ended 60 connections that it needed again.
+    #[test]
+    fn each_box_that_is_listed_has_room_for_a_connection() {
+        for (usable, boxes) in [(480, 179), (350, 200), (1000, 200)] {
+            let (clients, leaves) = shares(usable, boxes);
+            assert!(leaves >= boxes && clients >= usable / 3, "{usable}, {boxes}: {clients}, {leaves}");
+            assert_eq!(clients + leaves, usable);
+        }
+    }
+
+    #[test]
+    fn neither_clients_nor_boxes_take_all() {
+        for boxes in [0, 3, 5000, usize::MAX] {
+            let (clients, leaves) = shares(480, boxes);
+            assert!(
+                clients >= 160 && leaves >= 160 && clients + leaves == 480,
+                "{boxes}: {clients}, {leaves}"
+            );
+        }
+        assert!(shares(8, 200).1 >= 4);
+    }
+
     /// Found in a fleet of 100 mixers: at 75 ms of silence each opened another connection to boxes that were slow.
     #[test]
     fn what_is_as_late_as_nearly_all_is_not_doubted() {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -175,6 +175,11 @@
         self.members.values()
     }
 
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.members.len()
+    }
+
     /// Forgets what is gone and has no connection left. Guards the memory: machines are replaced without end,
     /// and each new one has a name of its own.
     pub fn forget_gone(&mut self) {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -8,7 +8,7 @@
 
 use super::{Due, Mixer, NetError, Phase, LISTENERS};
 use crate::api::{Beliefs, Elsewhere, ReplicaId};
-use crate::choices::phases::Learned;
+use crate::choices::{connections, phases::Learned};
 use crate::core::{Load, Style};
 use miniserde::{json, Deserialize, Serialize};
 use mio::net::{TcpListener, UnixListener, UnixStream};
@@ -275,7 +275,8 @@
     pub(super) fn room(&self) -> (usize, usize) {
         let (clients, leaves) = self.handover.as_ref().map_or((0, 0), |handover| handover.beside);
         let left = |most: usize, beside: usize| most.saturating_sub(beside).max(ROOM_LEAST.min(most));
-        (left(self.clients_most, clients), left(self.leaves_most, leaves))
+        let most = connections::shares(self.usable, self.directory.count());
+        (left(most.0, clients), left(most.1, leaves))
     }
 
     /// Whether another process of this mixer lives beside it.
--- a/src/net/leaf.rs
+++ b/src/net/leaf.rs
@@ -241,8 +241,8 @@
         self.recent.push_back((over.id, over.ahead));
     }
 
-    /// Whether it has been silent for so long since something was asked on it. What was given up without an
-    /// answer leaves the doubt.
+    /// Whether it has been silent for so long since something was asked on it. What was given up after that
+    /// leaves the doubt.
     pub fn in_doubt(&self, now: f64, silence_s: f64) -> bool {
         self.up && self.asked_at.is_some_and(|at| now > at + silence_s)
     }
@@ -315,7 +315,17 @@
     }
 
     /// Nobody waits for this attempt any more. Says whether the connection has to be closed for it.
-    pub fn give_up(&mut self, attempt: AttemptKey) -> bool {
+    pub fn give_up(&mut self, attempt: AttemptKey, now: f64, doubt_s: f64) -> bool {
+        let close = self.call_off(attempt);
+        // Guards boxes against a handshake for each part that was called off: no answer comes to that, ever, and
+        // a silence that nobody waits in tells nothing. What was silent for too long before stays in doubt.
+        if self.unused() && !self.in_doubt(now, doubt_s) {
+            self.asked_at = None;
+        }
+        close
+    }
+
+    fn call_off(&mut self, attempt: AttemptKey) -> bool {
         let Some(at) = self.streams.iter().position(|stream| stream.attempt == Some(attempt)) else {
             return false;
         };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,6 +17,7 @@
 pub mod platform;
 mod replicas;
 
+use crate::choices::connections;
 use crate::core::{AttemptKey, Command, Core, Style};
 use crate::settings::{Config, Deployment, Options, Shape};
 use agenda::{Agenda, Due};
@@ -205,11 +206,10 @@
     clock: Clock,
     now: f64,
     clients: usize,
-    clients_most: usize,
+    usable: usize,        // descriptors for connections to clients and replicas
     crowd: usize,         // more clients than this are one
     buffered_most: usize, // bytes of requests that are not whole yet, over all clients
     leaves: usize,
-    leaves_most: usize,
     waiting_most: usize, // bytes that may wait to be written to one replica's connection
     lines: (f64, u32),
     search_tenant: Option<String>,
@@ -251,7 +251,7 @@
         // Guards the sockets to replicas and discovery: clients get what is left of the limit.
         let other = OTHER_DESCRIPTORS + if inherited.is_some() { handover::DESCRIPTORS } else { 0 };
         let usable = options.sockets.saturating_sub(other).max(8);
-        let leaves_most = (usable / 3).max(4);
+        let leaves_most = connections::shares(usable, usize::MAX).1;
         let mut mixer = Mixer {
             poll,
             name: options.name,
@@ -285,11 +285,10 @@
             clock,
             now,
             clients: 0,
-            clients_most: usable - leaves_most,
+            usable,
             crowd: (CROWD * options.sockets as f64 / 3.0) as usize,
             buffered_most: options.memory / 8,
             leaves: 0,
-            leaves_most,
             waiting_most: (options.memory / 8 / leaves_most).clamp(WAITING_LEAST, WAITING_MOST),
             lines: (now, 0),
             search_tenant: options.search_tenant,
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -212,8 +212,9 @@
 
     pub(super) fn give_up(&mut self, attempt: AttemptKey) {
         let Some(key) = self.flights.remove(attempt) else { return };
+        let (now, doubt_s) = (self.now, self.doubt_s());
         let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return };
-        if leaf.give_up(attempt) {
+        if leaf.give_up(attempt, now, doubt_s) {
             return self.drop_conn(key);
         }
         if self.flush_leaf(key).is_err() {
