--- a/src/held.rs
+++ b/src/held.rs
@@ -130,4 +130,16 @@
         let known = Known { lanes, started_at, heard_at: now, told_at: now, ..Known::default() };
         Replica { entry, known, ..Replica::default() }
     }
+
+    /// Whether it gets nothing but trials, for this class.
+    pub(crate) fn barred(&self, class: usize) -> bool {
+        self.known.bar.until.is_some() || self.known.lanes[class].bar.until.is_some()
+    }
+
+    /// Not barred, or due for a trial; a replica that is barred as a whole with nothing else out.
+    pub(crate) fn usable(&self, class: usize, now: f64) -> bool {
+        let idle = self.known.bar.until.is_none() || self.out + self.elsewhere == 0;
+        let bars = [&self.known.bar, &self.known.lanes[class].bar];
+        idle && bars.iter().all(|bar| bar.until.is_none_or(|until| until <= now))
+    }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,14 +22,16 @@
 const OVERDUE: f64 = 1.1; // a part out for so many late latencies is overdue
 const COPIES: (f64, f64, f64) = (0.1, 10.0, 0.2); // late tries earned by a part, most saved up, or a replica
 const SWIFT: f64 = 2.5; // a holder no slower than this many usual latencies is worth another attempt
+const IN_TIME: f64 = 0.5; // share of the time left in which a further holder must be likely to answer
 const OWN_STALL: f64 = 8.0; // a sweep that comes this many sweeps late was held up by a stall of our own
+const COPY_AT: f64 = 0.5; // share of the aim after which a fleet's mixer sends a second copy
 const KEPT_FOR_FAILURES: f64 = 0.5; // share of the attempt ration that lateness leaves for failures
 const SILENCE: (f64, f64) = (2.0, 3.0); // overdue times without an answer that bar, and after which to recall
 const FAILURES_TO_BAR: u32 = 3; // a broken connection or silence counts as so many
 const TRIALS_TO_CLEAR: u32 = 2; // trial parts served in a row that end a bar
 const TRIAL_S: (f64, f64) = (0.5, 4.0); // first and longest wait for a trial part of what is barred
 const PARTING: f64 = 0.85; // share of the drain grace in which last holders that drain are still used
-const CROSSING: f64 = 4.0; // mixers beyond which another zone no longer counts as twice as slow
+const CROSSING: f64 = 4.0; // mixers beyond which one is a small part of the load
 const COLD_MARGIN: f64 = 0.9; // share of what would push a cold replica over that we may give it
 const RATE_S: f64 = 8.0; // window over which the aggregator's own sending rate is taken (seconds)
 const WARY_S: f64 = 30.0; // queries are scouted for so long after a break, deadly ones remembered
@@ -540,7 +542,7 @@
             let calls = replica.calls.len() + replica.elsewhere as usize + usize::from(!joins);
             let cost = self.expected_cost(replica, class) * self.share_of_call(part, replica, joins);
             let crosses = replica.entry.zone != self.cfg.zone;
-            let far = if crosses { (CROSSING / f64::from(self.cfg.aggregators)).min(1.0) } else { 0.0 };
+            let far = if crosses { self.alone() } else { 0.0 };
             ((cost * (1.0 + far) * calls as f64).to_bits(), crosses, replica.luck.to_bits())
         };
         let candidates = self.holders(part.shard, class).filter(|replica| !avoid.contains(&replica.entry.id));
@@ -548,6 +550,11 @@
         Some((best.entry.id, f64::from_bits(rank(&best).0)))
     }
 
+    /// Our part of what the replicas bear: 1 among few mixers, and little in a fleet.
+    fn alone(&self) -> f64 {
+        (CROSSING / f64::from(self.cfg.aggregators)).min(1.0)
+    }
+
     /// Work that a part brings a replica, over what it would in a call of its own: one that joins a call
     /// adds none, one that opens it halves the call's work with each part that can follow.
     fn share_of_call(&self, part: &Part, replica: &Replica, joins: bool) -> f64 {
@@ -717,14 +724,16 @@
         let flights: Vec<(usize, Attempt)> = part.out().map(|(number, attempt)| (number, *attempt)).collect();
         let Some((number, first)) = flights.first().copied() else {
             let jammed = part.attempts.last().is_some_and(|attempt| attempt.outcome == Some(Outcome::Full));
-            if !jammed || self.worth_another(id) {
+            if !jammed || self.worth_another(id, true) {
                 self.send(id, out);
             }
             return None;
         };
         let (age, overdue) = (self.now - first.sent_at - first.excused, self.overdue_s(first.lane));
         let barred = self.replicas.get(&first.replica).is_some_and(|replica| replica.barred(first.lane));
-        let due = if barred { age >= overdue / 2.0 } else { age >= overdue };
+        // In a fleet a copy waits while it can still be in time: those of all mixers jam a jammed box's neighbours.
+        let patience = COPY_AT * (1.0 - self.alone()) * self.cfg.classes[part.class].aim_s;
+        let due = age >= if barred { overdue / 2.0 } else { overdue.max(patience) };
         let braked = self.past.copies < 1.0 || !self.within_ration(1.0 - KEPT_FOR_FAILURES);
         if flights.len() > 1 || first.cancelled || !due || braked {
             let later = if flights.len() > 1 || first.cancelled { f64::MAX } else { first.sent_at };
@@ -735,12 +744,12 @@
         let left = part.attempts.len() < part.most && !self.cfg.second_copies;
         let done = if self.send_spare(query, out) {
             true
-        } else if far_gone && safe && left && self.cfg.cancel && self.worth_another(id) {
+        } else if far_gone && safe && left && self.cfg.cancel && self.worth_another(id, false) {
             self.parts.get_mut(&id).expect("held").attempts[number].cancelled = true;
             out.push(Action::Cancel { part: id, attempt: number as u8 });
             true
         } else {
-            self.cfg.second_copies && self.worth_another(id) && self.send(id, out)
+            self.cfg.second_copies && self.worth_another(id, false) && self.send(id, out)
         };
         self.past.copies -= f64::from(u8::from(done));
         None
@@ -750,13 +759,18 @@
         self.cfg.classes[class].effect == Effect::Safe
     }
 
-    /// Whether some other holder is about as swift as usual: where none is, more attempts would feed a jam.
-    fn worth_another(&self, id: PartId) -> bool {
+    /// Whether a holder is worth a further attempt: one that it is not out at, about as swift as usual, for
+    /// more would feed a jam; where it was turned away also one never asked that may answer in time.
+    fn worth_another(&self, id: PartId, turned_away: bool) -> bool {
         let part = &self.parts[&id];
-        let untried = |replica: &&Replica| part.out().all(|(_, attempt)| attempt.replica != replica.entry.id);
-        let limit = SWIFT * self.past.latencies[part.class].usual;
-        let swift = |replica: &Replica| self.expected_latency(replica) <= limit;
-        self.holders(part.shard, part.class).filter(untried).any(swift)
+        let query = part.query.filter(|_| turned_away).and_then(|query| self.queries.get(&query));
+        let left = query.map_or(0.0, |query| IN_TIME * (self.give_up_at(query) - self.now));
+        let swift = SWIFT * self.past.latencies[part.class].usual;
+        self.holders(part.shard, part.class).any(|replica| {
+            let mut there = part.attempts.iter().filter(|at| at.replica == replica.entry.id).peekable();
+            let limit = if there.peek().is_none() { swift.max(left) } else { swift };
+            there.all(|attempt| attempt.outcome.is_some()) && self.expected_latency(replica) <= limit
+        })
     }
 
     /// Sends a part that a whole answer did not need, in place of another that is late.
@@ -1054,15 +1068,4 @@
         let before = self.known.slower.unwrap_or(slower);
         (self.known.slower, self.known.heard_at) = (Some(before + SMOOTHING * (slower - before)), now);
     }
-
-    fn barred(&self, class: usize) -> bool {
-        self.known.bar.until.is_some() || self.known.lanes[class].bar.until.is_some()
-    }
-
-    /// Not barred, or due for a trial; a replica that is barred as a whole with nothing else out.
-    fn usable(&self, class: usize, now: f64) -> bool {
-        let idle = self.known.bar.until.is_none() || self.out + self.elsewhere == 0;
-        let bars = [&self.known.bar, &self.known.lanes[class].bar];
-        idle && bars.iter().all(|bar| bar.until.is_none_or(|until| until <= now))
-    }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -148,6 +148,41 @@
     assert!(out.contains(&Action::Answer { query: QueryId(500), whole: true }));
 }
 
+/// Found on calm days of 300 mixers: in a burst each sent the copies it had saved up, after 0.15 of 0.4 s, to the ring's
+/// neighbours of a box that was slow, a third of all that these got; so a jam went round, and lasted for 7 s.
+#[test]
+fn in_a_fleet_a_copy_waits_for_half_of_the_aim() {
+    let copied_after = |aggregators: u32| {
+        let fleet = Settings { aggregators, ..settings(class()) };
+        let mut driver = Driver::new(fleet, &[replica(1), replica(2)]);
+        for id in 1..300 {
+            driver.round_trip(id, 0, 0.05);
+        }
+        driver.query(500, &[0], 3.0);
+        let steps = (1..100).find(|_| !sends(&driver.pass(0.01)).is_empty());
+        steps.expect("a copy leaves")
+    };
+    let (few, fleet) = (copied_after(3), copied_after(300));
+    assert!(few < 40, "{few}");
+    assert!((48..60).contains(&fleet), "{fleet}: late enough, and in time for the copy to be served");
+}
+
+/// Found on a release in a fleet of 300: parts turned away by a hung box were held to the end, and their queries with
+/// them, since the other holder was known as 2.6 times as slow as usual, with nine tenths of the time left.
+#[test]
+fn what_was_turned_away_goes_to_a_holder_never_asked_that_may_answer_in_time() {
+    let mut driver = Driver::new(settings(class()), &[replica(1), replica(2)]);
+    for id in 1..100 {
+        driver.round_trip(id, 0, 0.05);
+    }
+    for id in 100..120 {
+        driver.round_trip(id, 0, 0.2); // four times as long as usual, and a fifth of the aim
+    }
+    let (part, first) = sends(&driver.query(500, &[0], 3.0))[0];
+    let next = sends(&driver.end(part, 0, first, 0.001, Outcome::Full));
+    assert!(next.len() == 1 && next[0].1 != first, "{next:?}");
+}
+
 #[test]
 fn without_second_copies_an_overdue_part_is_called_off_first() {
     let mut single = settings(class());
