--- a/src/logic.rs
+++ b/src/logic.rs
@@ -731,7 +731,7 @@
         };
         let (age, overdue) = (self.now - first.sent_at - first.excused, self.overdue_s(first.lane));
         let barred = self.replicas.get(&first.replica).is_some_and(|replica| replica.barred(first.lane));
-        // In a fleet a copy waits while it can still be in time: those of all mixers jam a jammed box's neighbours.
+        // In a fleet a copy waits while it can be in time: those of all mixers jam a box's neighbours.
         let patience = COPY_AT * (1.0 - self.alone()) * self.cfg.classes[part.class].aim_s;
         let due = age >= if barred { overdue / 2.0 } else { overdue.max(patience) };
         let braked = self.past.copies < 1.0 || !self.within_ration(1.0 - KEPT_FOR_FAILURES);
