--- a/crates/wharfhub-lab/src/experiments/deployments.rs
+++ b/crates/wharfhub-lab/src/experiments/deployments.rs
@@ -35,6 +35,7 @@
         kind("all slow", 0.55, vec![(0.4, 0.65, Trouble::Slow(1.7))]),
         kind("burst", 0.55, vec![(0.4, 0.6, Trouble::Burst(1.8))]),
         kind("silent", 0.5, vec![(0.3, 0.7, Trouble::Silent(0.12))]),
+        kind("fails fast", 0.5, vec![(0.25, 0.75, Trouble::Fails(0.12, 0.7))]),
         kind("links fall silent", 0.5, vec![(0.1, 0.9, Trouble::Hush(0.15))]),
         kind("dead, back cold", 0.5, vec![(0.25, 0.55, Trouble::Dead(0.2))]),
         kind("overload", 0.95, vec![(0.3, 0.8, Trouble::SomeSlow(0.15, 4.0))]),
@@ -60,6 +61,8 @@
     if let Layout::Sets(_, members) = &mut site.layout {
         *members = 2 + (seed % 2) as u32; // two or three boxes hold a shard
     }
+    // Waiting rooms of all sizes that the accounts allow.
+    site.boxes.room = 14 + (seed as usize * 7) % 29;
     Day {
         seed,
         boxes,
