Foresee latency by what is out; scout after a conviction only; recall from what is barred

To blame, in src/logic.rs: - asks(): a latency tells of the queue that its part met when it was sent, one latency ago. The queue has grown or shrunk since as what is out has: that ratio, 0.25 to 2, now scales what stands above the least. No account tells of queries that take boxes down; boxes that die break connections often. Now a query that was convicted (it broke two connections in turn) sets the scouting off; what is suspect itself goes on one part at a time as before. Price: the first such query takes down as many boxes as it has parts at once. - tend_part(): a recall waited for 3 times the overdue time, though the box is barred after 2.

--- a/src/held.rs
+++ b/src/held.rs
@@ -12,6 +12,12 @@
 /// What has been out for some time takes so many times as long in the end, at the least that one should reckon with.
 const OUT_LONGER: f64 = 1.2;
 
+/// The average fades in so many seconds; an answer's weight at most. The least average grows by this with each answer.
+const AVERAGE: (f64, f64) = (0.5, 0.2);
+const LEAST_GROWS: f64 = 0.001;
+/// At least and at most, what is out counts as so many times what was out beside the parts that were answered.
+const OUT_AGAINST: (f64, f64) = (0.25, 2.0);
+
 /// Moves a running estimate of a quantile by a step, with odds that rest at the quantile.
 fn step(at: &mut f64, seen: f64, share: f64) {
     *at *= 1.0 + QUANTILE_STEP * if seen > *at { share } else { share - 1.0 };
@@ -29,6 +35,53 @@
     }
 }
 
+/// What parts take on average, and what is out against what was out beside those that told so. An answer tells of the
+/// queue that it met when it was sent, one latency ago: the count of what is out now tells how that has changed.
+pub(crate) struct Pace {
+    pub(crate) average: f64, // seconds
+    least: f64,              // the least it lately was: what no queue would shorten
+    heard_at: f64,
+    out: u32,    // attempts that are out
+    beside: f64, // how many were out beside those answered, averaged in the same way
+}
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace { average: 1e-4, least: f64::MAX, heard_at: 0.0, out: 0, beside: 0.0 }
+    }
+}
+
+impl Pace {
+    /// An attempt leaves; says how many are out beside it.
+    pub(crate) fn sent(&mut self) -> u32 {
+        self.out += 1;
+        self.out - 1
+    }
+
+    /// One has ended.
+    pub(crate) fn ended(&mut self) {
+        self.out = self.out.saturating_sub(1);
+    }
+
+    /// One was answered after so long, beside so many when it left.
+    pub(crate) fn heard(&mut self, now: f64, took: f64, beside: u32) {
+        let weight = (1.0 - (-(now - self.heard_at) / AVERAGE.0).exp()).min(AVERAGE.1);
+        let weight = if self.heard_at == 0.0 { 1.0 } else { weight };
+        self.average = (self.average + weight * (took - self.average)).max(1e-4);
+        self.beside += weight * (f64::from(beside) - self.beside);
+        self.least = self.least.min(self.average) * (1.0 + LEAST_GROWS);
+        self.heard_at = now;
+    }
+
+    /// What a latency that answers told of will be for a part that leaves now: the queue in it grows and shrinks as what
+    /// is out does, as far as the queues are our own doing (1: all of it). In a fleet what one has out tells of luck.
+    pub(crate) fn foreseen(&self, told: f64, ours: f64) -> f64 {
+        let grown = (f64::from(self.out) + 1.0) / (self.beside + 1.0);
+        let least = self.least.min(told);
+        least + (told - least) * (1.0 + ours * (grown.clamp(OUT_AGAINST.0, OUT_AGAINST.1) - 1.0))
+    }
+}
+
 /// Each by its place among those before; what is new there is made anew.
 pub(crate) fn carried<T: Clone>(from: &[Option<usize>], before: &[T], new: impl Fn(usize) -> T) -> Vec<T> {
     let one = |(place, old): (usize, &Option<usize>)| {
@@ -67,6 +120,7 @@
     pub(crate) outcome: Option<Outcome>,
     pub(crate) cancelled: bool,
     pub(crate) silent: bool,
+    pub(crate) beside: u32,  // how many were out when it left
     pub(crate) idle: f64,    // how long the connection it went out on had been unused
     pub(crate) excused: f64, // how much of its time out was our own stall
 }
@@ -175,3 +229,31 @@
         idle && bars.iter().all(|bar| bar.until.is_none_or(|until| until <= now))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Found at Szeged: refusals went on for one latency after the queue had gone, for the answers still told of it.
+    #[test]
+    fn a_queue_that_is_gone_is_foreseen_as_gone() {
+        let mut pace = Pace::default();
+        pace.heard(1.0, 0.1, 0);
+        let last = (0..20).map(|_| pace.sent()).last();
+        assert_eq!(last, Some(19));
+        (1..40).for_each(|step| pace.heard(1.0 + f64::from(step) * 0.2, 0.9, 20));
+        assert!(
+            (pace.foreseen(0.9, 1.0) - 0.9).abs() < 0.1,
+            "as much is out as they met: {}",
+            pace.foreseen(0.9, 1.0)
+        );
+        (0..20).for_each(|_| pace.ended());
+        assert!(pace.foreseen(0.9, 1.0) < 0.4, "{}", pace.foreseen(0.9, 1.0));
+        assert_eq!((0..90).map(|_| pace.sent()).last(), Some(89));
+        assert!(pace.foreseen(0.9, 1.0) > 1.5, "{}", pace.foreseen(0.9, 1.0));
+        assert!(pace.foreseen(0.9, 1.0) <= 1.8, "never more than twice what was told");
+        assert_eq!(pace.foreseen(0.05, 1.0), 0.05, "a swift one is no swifter or slower for it");
+        // Found in a fleet of 300: each had some ten parts out, and refused by the luck of them; calm 0.57 to 0.37.
+        assert!((pace.foreseen(0.9, 0.01) - 0.9).abs() < 0.01);
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,7 +16,6 @@
 const TOO_LATE: (f64, f64, f64) = (0.4, 0.9, 2.0); // shares of the time that refuse; s in which news fades
 const MOST_REFUSED: f64 = 0.95; // share of queries that it refuses at most
 const SMOOTHING: f64 = 0.3; // weight of a new answer in a replica's smoothed latency
-const AVERAGE: (f64, f64) = (0.5, 0.2); // the average fades in so many s; an answer's weight at most
 const FORGOTTEN: f64 = 0.05; // what has faded to this share is forgotten
 const FORGET: (f64, f64) = (1.0, 6.0); // what is known of a replica fades in so many s, and at least sends
 const OVERDUE: f64 = 1.1; // a part out for so many late latencies is overdue
@@ -26,7 +25,7 @@
 const OWN_STALL: f64 = 8.0; // a sweep that comes this many sweeps late was held up by a stall of our own
 const COPY_AT: f64 = 0.5; // share of the aim after which a fleet's mixer sends a second copy
 const KEPT_FOR_FAILURES: f64 = 0.5; // share of the attempt ration that lateness leaves for failures
-const SILENCE: (f64, f64) = (2.0, 3.0); // overdue times without an answer that bar, and after which to recall
+const SILENCE: f64 = 2.0; // overdue times without an answer that bar
 const FAILURES_TO_BAR: u32 = 3; // a broken connection or silence counts as so many
 const TRIALS_TO_CLEAR: u32 = 2; // trial parts served in a row that end a bar
 const TRIAL_S: (f64, f64) = (0.5, 4.0); // first and longest wait for a trial part of what is barred
@@ -34,10 +33,9 @@
 const CROSSING: f64 = 4.0; // mixers beyond which one is a small part of the load
 const COLD_MARGIN: f64 = 0.9; // share of what would push a cold replica over that we may give it
 const RATE_S: f64 = 8.0; // window over which the aggregator's own sending rate is taken (seconds)
-const WARY_S: f64 = 30.0; // queries are scouted for so long after a break, deadly ones remembered
+const WARY_S: f64 = 30.0; // deadly queries are remembered, and all others scouted, for so long
 const IDLE_S: f64 = 0.25; // a connection unused for longer is idle
 const IDLE_LOSS: (f64, f64) = (0.1, 0.15); // step of the running share lost, and from when it is believed
-const WIDE: f64 = 0.5; // a query over more of the replicas is always scouted
 const SCOUT: f64 = 0.5; // usual latencies that a scout is waited for at most
 const SUM_SLACK: f64 = 0.00005; // weights of a step add up to 1 but for rounding
 const TENANT_S: f64 = 10.0; // time constant of what a tenant asks
@@ -69,11 +67,10 @@
     sweep_due: f64,
     sweep_s: f64, // a hundredth of the shortest aim, and never under a round
     replicas: BTreeMap<ReplicaId, Replica>,
-    cells: Vec<Vec<ReplicaId>>, // replicas by cell, how many there are, and their average latency
+    cells: Vec<Vec<ReplicaId>>, // replicas by cell, how many there are, and what they take on average
     present: usize,
-    average: f64,
+    pace: Pace,
     alarmed: bool, // a replica or lane may have been barred since the last sweep
-    heard_at: f64, // when an answer last moved it
     readings: Schedule<(ReplicaId, usize)>, // when each lane's interval is over
     lots: Schedule<ReplicaId>, // when each replica's luck is drawn anew
     memory_s: f64, // what is known of a replica fades in this time
@@ -101,9 +98,8 @@
             replicas: BTreeMap::new(),
             cells: Vec::new(),
             present: 1,
-            average: 1e-4,
+            pace: Pace::default(),
             alarmed: false,
-            heard_at: 0.0,
             readings: Schedule::default(),
             lots: Schedule::default(),
             memory_s: FORGET.0,
@@ -416,8 +412,7 @@
         if bought + SUM_SLACK < self.cfg.classes[class].floor || self.is_deadly(query) {
             return self.refuse(id, price, out);
         }
-        let wide = chosen.len() as f64 > WIDE * self.present as f64;
-        let scouted = chosen.len() > 1 && (self.now < self.wary_until || wide);
+        let scouted = chosen.len() > 1 && self.now < self.wary_until;
         self.queries.get_mut(&id).expect("looked up above").scouted_from = scouted.then_some(self.now);
         for part in &chosen {
             self.parts.get_mut(part).expect("chosen parts are held").wanted = true;
@@ -427,11 +422,12 @@
         }
     }
 
-    /// What a replica asks of a query: its price, or as much as its known latency nears the time there is.
+    /// What a replica asks of a query: its price, or as much as its foreseen latency nears the time there is.
     /// Guards, where answers are few, against the time that prices need. Some pass: it can't lock shut.
     fn asks(&self, replica: &Replica, query: &Query) -> f64 {
         let time = self.cfg.classes[query.class].aim_s.min(query.deadline - self.now);
-        let near = (self.known_latency(replica) / time - TOO_LATE.0) / (TOO_LATE.1 - TOO_LATE.0);
+        let near = (self.pace.foreseen(self.known_latency(replica), self.alone()) / time - TOO_LATE.0)
+            / (TOO_LATE.1 - TOO_LATE.0);
         let fresh = (-(self.now - replica.known.heard_at) / TOO_LATE.2).exp();
         let ahead = query.ahead.map_or(0.0, |ahead| replica.known.lanes[usize::from(ahead.class)].price);
         replica.known.lanes[query.class].price.max(ahead).max(near.min(MOST_REFUSED) * fresh * TOKENS)
@@ -482,8 +478,8 @@
         (offers, price)
     }
 
-    /// Guards against queries that bring down each replica that begins a part. While connections break, one
-    /// part scouts ahead; the others follow when some part is answered, or it is out for some time.
+    /// Guards against queries that bring down each replica that begins a part. Once one is convicted, a part
+    /// of each scouts ahead; the others follow when some part is answered, or it is out for some time.
     fn held_back(&self, query: &Query) -> bool {
         let ahead = query.ahead.filter(|ahead| self.now < ahead.until).map(|ahead| ahead.class.into());
         let usual = self.past.latencies[ahead.unwrap_or(query.class)].usual;
@@ -500,6 +496,7 @@
             self.deadly.retain(|_, (at, _)| self.now < *at + WARY_S);
             let deadly = self.deadly.entry(query.likeness.clone()).or_default();
             *deadly = (self.now, deadly.1 + u32::from(!query.repeat));
+            self.wary_until = self.now + WARY_S;
             out.push(Action::Fail { query: id });
             return self.end_query(id, out);
         }
@@ -578,7 +575,7 @@
     /// where each is met seldom: what slows all is known from the others' answers, and is over with them.
     fn known_latency(&self, replica: &Replica) -> f64 {
         let slower = replica.known.slower.unwrap_or(1.0);
-        (self.average * (1.0 + (slower - 1.0) * self.fresh(replica))).max(replica.waiting(self.now))
+        (self.pace.average * (1.0 + (slower - 1.0) * self.fresh(replica))).max(replica.waiting(self.now))
     }
 
     /// How much of what was heard of a replica still counts.
@@ -592,7 +589,7 @@
     fn expected_latency(&self, replica: &Replica) -> f64 {
         let capacity = self.capacity(replica);
         let slower = if capacity < 1.0 && self.cold_share(capacity).is_err() { 1.0 } else { capacity };
-        self.known_latency(replica).max(self.average / slower)
+        self.known_latency(replica).max(self.pace.average / slower)
     }
 
     /// Expected latency, and by the odds of a failure what that costs: another attempt, or an unsafe query.
@@ -665,7 +662,9 @@
         let ahead = ahead.filter(known);
         let lane = ahead.map_or(class, |ahead| ahead.class.into());
         let until = ahead.map_or(give_up, |ahead| ahead.until.min(give_up));
-        let attempt = Attempt { replica: target, sent_at: self.now, lane, idle, ..Attempt::default() };
+        let beside = self.pace.sent();
+        let attempt =
+            Attempt { replica: target, sent_at: self.now, lane, idle, beside, ..Attempt::default() };
         self.parts.get_mut(&id).expect("looked up above").attempts.push(attempt);
         if ahead.is_none() {
             self.attempted(self.now, again); // what asks ahead is light, and no measure of what boxes bear
@@ -710,7 +709,7 @@
     }
 
     /// Looks after a part that has no answer: again after a failure; when it is overdue a spare, a second
-    /// copy, or where two may not be out, a recall once it is far gone.
+    /// copy, or where two may not be out, a recall from where all are barred.
     /// Says since when it has been out, where nothing but time or an answer brings it any further.
     fn tend_part(&mut self, id: PartId, out: &mut Vec<Action>) -> Option<f64> {
         let part = &self.parts[&id];
@@ -737,11 +736,11 @@
             return (!barred).then_some(later);
         }
         let (safe, query) = (self.safe(part.class), part.query);
-        let far_gone = barred && age > overdue * SILENCE.1;
         let left = part.attempts.len() < part.most && !self.cfg.second_copies;
         let done = if self.send_spare(query, out) {
             true
-        } else if far_gone && safe && left && self.cfg.cancel && self.worth_another(id, false) {
+        } else if barred && age > overdue && safe && left && self.cfg.cancel && self.worth_another(id, false)
+        {
             self.parts.get_mut(&id).expect("held").attempts[number].cancelled = true;
             out.push(Action::Cancel { part: id, attempt: number as u8 });
             true
@@ -785,6 +784,7 @@
         let attempt = part.attempts.get_mut(usize::from(end.attempt));
         let Some(attempt) = attempt.filter(|attempt| attempt.outcome.is_none()) else { return };
         attempt.outcome = Some(end.outcome);
+        self.pace.ended();
         let sane = end.took_s >= 0.0 && end.took_s.is_finite();
         let took = if sane { end.took_s } else { self.now - attempt.sent_at };
         let (attempt, took) = (*attempt, (took - attempt.excused).max(0.0));
@@ -927,18 +927,15 @@
                 let in_full = replica.known.lanes[class].least + took - least;
                 let in_full = if at == class { took } else { in_full };
                 if in_full < f64::MAX {
-                    let weight = (1.0 - (-(now - self.heard_at) / AVERAGE.0).exp()).min(AVERAGE.1);
-                    let weight = if self.heard_at == 0.0 { 1.0 } else { weight };
-                    self.average = (self.average + weight * (in_full - self.average)).max(1e-4);
-                    self.heard_at = now;
-                    replica.heard(now, in_full / self.average);
+                    self.pace.heard(now, in_full, attempt.beside);
+                    replica.heard(now, in_full / self.pace.average);
                 }
                 replica.known.heard_at = now;
                 took - least
             }
             // A queue so full that it turns work away is an aim behind, though it says so fast.
             Outcome::Full => {
-                replica.heard(now, aim / self.average);
+                replica.heard(now, aim / self.pace.average);
                 aim
             }
             Outcome::TimedOut | Outcome::Cancelled => {
@@ -947,14 +944,14 @@
                     self.alarmed = true;
                     lane.bar.failed(now, 1);
                 }
-                let slower = took.min(aim) / self.average;
+                let slower = took.min(aim) / self.pace.average;
                 if replica.known.slower.is_none_or(|known| slower > known) {
                     replica.heard(now, slower);
                 }
                 return;
             }
             Outcome::ConnectFailed | Outcome::Reset => {
-                (self.wary_until, self.alarmed) = (now + WARY_S, true);
+                self.alarmed = true;
                 return replica.known.bar.failed(now, FAILURES_TO_BAR);
             }
             Outcome::Error => {
@@ -977,7 +974,7 @@
     /// replicas that hang, are cut off, or drop one class. Harm: a shared stall; last holders stay in use.
     fn bar_the_silent(&mut self) {
         let limits: Vec<f64> =
-            (0..self.past.latencies.len()).map(|class| SILENCE.0 * self.overdue_s(class)).collect();
+            (0..self.past.latencies.len()).map(|class| SILENCE * self.overdue_s(class)).collect();
         for part in self.parts.values_mut() {
             for attempt in part.attempts.iter_mut().filter(|attempt| attempt.outcome.is_none()) {
                 let sent_at = attempt.sent_at + attempt.excused;
@@ -988,7 +985,7 @@
                 let Some(replica) = self.replicas.get_mut(&attempt.replica) else { continue };
                 let lane = &mut replica.known.lanes[attempt.lane];
                 let limit =
-                    limits[attempt.lane].max(2.0 * self.average * replica.known.slower.unwrap_or(0.0));
+                    limits[attempt.lane].max(2.0 * self.pace.average * replica.known.slower.unwrap_or(0.0));
                 if !attempt.silent && self.now - sent_at > limit {
                     attempt.silent = true;
                     lane.bar.failed(self.now, if lane.heard_at > sent_at { 1 } else { FAILURES_TO_BAR });
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -193,8 +193,9 @@
     }
     let (part, first) = sends(&driver.query(500, &[0], 3.0))[0];
     // Found at full size: a part in a jam was recalled at half the overdue time, and its work done twice.
-    assert!(driver.pass(0.7).is_empty(), "not while it may only be late");
-    let out = driver.pass(0.5);
+    assert!(driver.pass(0.6).is_empty(), "not while it may only be late");
+    // Found at Szeged: it was left there for half as long again after its replica was barred, and came late.
+    let out = driver.pass(0.2);
     assert!(sends(&out).is_empty());
     assert!(out.contains(&Action::Cancel { part: PartId(part), attempt: 0 }));
     let again = sends(&driver.end(part, 0, first, 1.2, Outcome::Cancelled));
@@ -383,12 +384,29 @@
     assert!(!refused(&driver.query(503, &[0, 1, 2], 3.0)), "it is not remembered for ever");
 }
 
-/// While connections break one part scouts ahead: a deadly query takes down one replica, not three.
+/// A query of one part is convicted: its connection breaks, and breaks again where it is tried next.
+fn convict_one(driver: &mut Driver) {
+    let (part, at) = sends(&driver.query(500, &[0], 3.0))[0];
+    let again = sends(&driver.end(part, 0, at, 0.001, Outcome::Reset));
+    assert!(failed(&driver.end(part, 1, again[0].1, 0.001, Outcome::Reset)));
+}
+
+/// Found at Szeged with a room lost: for 30 s after boxes died every query waited for a first answer, half a usual
+/// latency long, and its parts went out in two calls.
 #[test]
-fn while_connections_break_one_part_scouts_ahead() {
+fn boxes_that_die_hold_no_other_query_back() {
     let mut driver = warm_fleet(settings(class()));
-    let (part, at) = sends(&driver.query(500, &[0], 3.0))[0];
-    driver.end(part, 0, at, 0.001, Outcome::Reset);
+    let sent = sends(&driver.query(500, &[0, 1, 2], 3.0));
+    driver.end(sent[0].0, 0, sent[0].1, 0.001, Outcome::Reset);
+    assert_eq!(sends(&driver.query(501, &[0, 1, 2], 3.0)).len(), 3);
+    assert_eq!(sends(&driver.query(502, &[0; 8], 3.0)).len(), 8, "nor is a wide one held back");
+}
+
+/// Once a query is convicted one part of each scouts ahead: the next one takes down one replica, not three.
+#[test]
+fn after_a_conviction_one_part_scouts_ahead() {
+    let mut driver = warm_fleet(settings(class()));
+    convict_one(&mut driver);
     let scout = sends(&driver.query(501, &[0, 1, 2], 3.0));
     assert_eq!(scout.len(), 1);
     let rest = sends(&driver.end(scout[0].0, 0, scout[0].1, 0.05, OK));
@@ -695,8 +713,7 @@
 #[test]
 fn a_slow_scout_releases_all_parts_at_once() {
     let mut driver = warm_fleet(settings(class()));
-    let (part, at) = sends(&driver.query(500, &[0], 3.0))[0];
-    driver.end(part, 0, at, 0.001, Outcome::Reset);
+    convict_one(&mut driver);
     assert_eq!(sends(&driver.query(501, &[0; 8], 3.0)).len(), 1);
     let rest = sends(&driver.pass(0.06));
     assert_eq!(rest.len(), 7, "{rest:?}");
@@ -730,6 +747,27 @@
     assert!(!refused(&driver.query(101, &[0], 3.0)));
 }
 
+/// Found at Szeged as a room was lost: an answer tells of the queue that its part met, one latency ago. By then twice as
+/// much was out, and 47% of what was let in came late.
+#[test]
+fn what_is_out_counts_before_any_answer_tells_of_it() {
+    let class = ClassSettings { aim_s: 2.0, ..class() };
+    let mut driver = warm_fleet(Settings { second_copies: false, ..settings(class) });
+    for id in 100..130 {
+        let sent = sends(&driver.query(id, &[0; 7], 3.0));
+        driver.pass(0.35);
+        for (part, at) in sent {
+            driver.pass(0.01);
+            driver.end(part, 0, at, 0.38, OK);
+        }
+    }
+    let refusals = |ids: std::ops::Range<u32>, driver: &mut Driver| {
+        ids.filter(|id| refused(&driver.query(*id, &[0], 1.0))).count()
+    };
+    assert_eq!(refusals(200..202, &mut driver), 0, "no more is out than was beside the answered");
+    assert!(refusals(300..340, &mut driver) > 8, "no answer has come, but the queue has grown");
+}
+
 /// Found at full size: one jammed set, of which each aggregator hears once in seconds, refused wide queries
 /// whole though these may be answered in part.
 #[test]
