Let prices, averages and trials keep time by the class's aim; no price refuses all

Ruled out: no holder (each shard had one in use), cold boxes, the drains, the resets (57 connections in all). To blame: EMPTY_S in src/logic.rs, seconds where classes differ by ten times in their aims, and read(), whose price could reach all. The same clock stood in TRIAL_S and in AVERAGE (held.rs). A trial's longest wait stays at 4 s, for boxes that are long dead.

--- a/crates/wharfhub-lab/src/experiments/deployments.rs
+++ b/crates/wharfhub-lab/src/experiments/deployments.rs
@@ -1,4 +1,4 @@
-//! Both kinds of deployment side by side: what is served on quiet days and with each trouble of their accounts.
+//! Both kinds of deployment side by side, each at two paces: what is served on quiet days and with each trouble of their accounts.
 //!
 //! Every cell plays the same days whatever the daemon does, so that two versions of it can be set against each other day by
 //! day: the days stand in `deployments-days.csv`. The verdict rests on the rules alone.
@@ -11,6 +11,8 @@
 /// Days of a cell, and their length (seconds).
 const DAYS: (u64, u64) = (20, 4);
 const DAY_S: (f64, f64) = (45.0, 30.0);
+/// How much swifter the same trade is on the real-socket days.
+const SWIFTER: f64 = 4.0;
 
 /// One kind of day: its name, its load, and what goes wrong, in shares of the day's length.
 pub struct Kind {
@@ -105,7 +107,9 @@
 
 pub fn run(options: &Options) -> Verdict {
     let (days, seconds) = if options.quick { (DAYS.1, DAY_S.1) } else { (DAYS.0, DAY_S.0) };
-    let (sites, kinds) = ([cardiff(), szeged()], kinds());
+    let swift = [cardiff().swifter("cardiff x4", SWIFTER), szeged().swifter("szeged x4", SWIFTER)];
+    let sites: Vec<Site> = [cardiff(), szeged()].into_iter().chain(swift).collect();
+    let kinds = kinds();
     let mut jobs = Vec::new();
     for site in &sites {
         for kind in &kinds {
--- a/crates/wharfhub-lab/src/site.rs
+++ b/crates/wharfhub-lab/src/site.rs
@@ -256,6 +256,21 @@
 }
 
 impl Site {
+    /// The same trade at so many times the pace: work, aims and waits of clients shrink, and as many more queries come.
+    /// Rooms, lists, pauses and cold starts keep their time.
+    pub fn swifter(self, name: &'static str, times: f64) -> Site {
+        let swift = |class: Class| Class {
+            work_s: class.work_s / times,
+            aim_s: class.aim_s / times,
+            give_up_s: class.give_up_s / times,
+            window_s: class.window_s / times,
+            ..class
+        };
+        let classes = self.classes.into_iter().map(swift).collect();
+        let (parts, work_s) = self.call;
+        Site { name, classes, call: (parts, work_s / times), ..self }
+    }
+
     /// How many cells so many boxes form.
     pub fn cells(&self, boxes: u32) -> u32 {
         match self.layout {
--- a/src/held.rs
+++ b/src/held.rs
@@ -12,8 +12,8 @@
 /// What has been out for some time takes so many times as long in the end, at the least that one should reckon with.
 const OUT_LONGER: f64 = 1.2;
 
-/// The average fades in so many seconds; an answer's weight at most. The least average grows by this with each answer.
-const AVERAGE: (f64, f64) = (0.5, 0.2);
+/// The average fades in so many aims; an answer's weight at most. The least average grows by this with each answer.
+const AVERAGE: (f64, f64) = (0.33, 0.2);
 const LEAST_GROWS: f64 = 0.001;
 /// At least and at most, what is out counts as so many times what was out beside the parts that were answered.
 const OUT_AGAINST: (f64, f64) = (0.25, 2.0);
@@ -63,9 +63,9 @@
         self.out = self.out.saturating_sub(1);
     }
 
-    /// One was answered after so long, beside so many when it left.
-    pub(crate) fn heard(&mut self, now: f64, took: f64, beside: u32) {
-        let weight = (1.0 - (-(now - self.heard_at) / AVERAGE.0).exp()).min(AVERAGE.1);
+    /// One of a class with such an aim was answered after so long, beside so many when it left.
+    pub(crate) fn heard(&mut self, now: f64, took: f64, beside: u32, aim: f64) {
+        let weight = (1.0 - (-(now - self.heard_at) / (AVERAGE.0 * aim)).exp()).min(AVERAGE.1);
         let weight = if self.heard_at == 0.0 { 1.0 } else { weight };
         self.average = (self.average + weight * (took - self.average)).max(1e-4);
         self.beside += weight * (f64::from(beside) - self.beside);
@@ -238,10 +238,10 @@
     #[test]
     fn a_queue_that_is_gone_is_foreseen_as_gone() {
         let mut pace = Pace::default();
-        pace.heard(1.0, 0.1, 0);
+        pace.heard(1.0, 0.1, 0, 1.2);
         let last = (0..20).map(|_| pace.sent()).last();
         assert_eq!(last, Some(19));
-        (1..40).for_each(|step| pace.heard(1.0 + f64::from(step) * 0.2, 0.9, 20));
+        (1..40).for_each(|step| pace.heard(1.0 + f64::from(step) * 0.2, 0.9, 20, 1.2));
         assert!(
             (pace.foreseen(0.9, 1.0) - 0.9).abs() < 0.1,
             "as much is out as they met: {}",
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,10 +11,10 @@
 const FALL: f64 = 1.0; // tokens that a price falls in an interval with little delay
 const THRESHOLD: f64 = 0.2; // the delay threshold of a class, as a share of its aim
 const INTERVAL_S: f64 = 0.02; // shortest interval between readings
-const EMPTY_S: (f64, f64) = (1.0, 5.0); // one without any, or without enough, reads as no delay after so long
+const EMPTY: (f64, f64) = (0.7, 3.3); // aims after which one with no answers, or too few, reads as no delay
 const COME_BACK_S: f64 = 0.1; // least time to come back that a refusal tells
 const TOO_LATE: (f64, f64, f64) = (0.4, 0.9, 2.0); // shares of the time that refuse; s in which news fades
-const MOST_REFUSED: f64 = 0.95; // share of queries that it refuses at most
+const MOST_REFUSED: f64 = 0.95; // share of queries that a price or late news refuses at most
 const SMOOTHING: f64 = 0.3; // weight of a new answer in a replica's smoothed latency
 const FORGOTTEN: f64 = 0.05; // what has faded to this share is forgotten
 const FORGET: (f64, f64) = (1.0, 6.0); // what is known of a replica fades in so many s, and at least sends
@@ -28,7 +28,7 @@
 const SILENCE: f64 = 2.0; // overdue times without an answer that bar
 const FAILURES_TO_BAR: u32 = 3; // a broken connection or silence counts as so many
 const TRIALS_TO_CLEAR: u32 = 2; // trial parts served in a row that end a bar
-const TRIAL_S: (f64, f64) = (0.5, 4.0); // first and longest wait for a trial part of what is barred
+const TRIAL: (f64, f64) = (0.4, 4.0); // first wait for a trial part of what is barred (aims), and longest (s)
 const PARTING: f64 = 0.85; // share of the drain grace in which last holders that drain are still used
 const CROSSING: f64 = 4.0; // mixers beyond which one is a small part of the load
 const COLD_MARGIN: f64 = 0.9; // share of what would push a cold replica over that we may give it
@@ -43,9 +43,9 @@
 
 /// What is barred gets a single trial part at a time.
 impl Bar {
-    fn failed(&mut self, now: f64, weight: u32) {
+    fn failed(&mut self, now: f64, aim: f64, weight: u32) {
         self.failures += weight;
-        self.wait = if self.until.is_some() { (self.wait * 2.0).min(TRIAL_S.1) } else { TRIAL_S.0 };
+        self.wait = if self.until.is_some() { (self.wait * 2.0).min(TRIAL.1) } else { TRIAL.0 * aim };
         if self.failures >= FAILURES_TO_BAR {
             (self.until, self.failures) = (Some(now + self.wait), TRIALS_TO_CLEAR);
         }
@@ -289,7 +289,8 @@
         for (id, replica) in &self.replicas {
             self.lots.put(replica.luck_until, *id);
             let lanes = replica.known.lanes.iter().enumerate();
-            lanes.for_each(|(class, lane)| self.readings.put(lane.over_at(), (*id, class)));
+            let aim = |class: usize| self.cfg.classes[class].aim_s;
+            lanes.for_each(|(class, lane)| self.readings.put(lane.over_at(aim(class)), (*id, class)));
         }
     }
 
@@ -435,7 +436,8 @@
 
     /// Tells the client that asking again does no harm, and when the price will have fallen at the latest.
     fn refuse(&mut self, id: QueryId, price: f64, out: &mut Vec<Action>) {
-        let retry_after_s = (price / FALL * EMPTY_S.0).max(COME_BACK_S).min(self.cfg.retry_after_s);
+        let fall_s = EMPTY.0 * self.queries.get(&id).map_or(0.0, |query| self.cfg.classes[query.class].aim_s);
+        let retry_after_s = (price / FALL * fall_s).max(COME_BACK_S).min(self.cfg.retry_after_s);
         out.push(Action::Refuse { query: id, retry_after_s });
         self.end_query(id, out);
     }
@@ -927,7 +929,7 @@
                 let in_full = replica.known.lanes[class].least + took - least;
                 let in_full = if at == class { took } else { in_full };
                 if in_full < f64::MAX {
-                    self.pace.heard(now, in_full, attempt.beside);
+                    self.pace.heard(now, in_full, attempt.beside, aim);
                     replica.heard(now, in_full / self.pace.average);
                 }
                 replica.known.heard_at = now;
@@ -942,7 +944,7 @@
                 let silent = lane.heard_at < attempt.sent_at && took > overdue;
                 if outcome == Outcome::TimedOut || silent {
                     self.alarmed = true;
-                    lane.bar.failed(now, 1);
+                    lane.bar.failed(now, aim, 1);
                 }
                 let slower = took.min(aim) / self.pace.average;
                 if replica.known.slower.is_none_or(|known| slower > known) {
@@ -952,21 +954,21 @@
             }
             Outcome::ConnectFailed | Outcome::Reset => {
                 self.alarmed = true;
-                return replica.known.bar.failed(now, FAILURES_TO_BAR);
+                return replica.known.bar.failed(now, aim, FAILURES_TO_BAR);
             }
             Outcome::Error => {
                 replica.known.failing += SMOOTHING * (1.0 - replica.known.failing);
                 (replica.known.heard_at, self.alarmed) = (now, true);
-                return lane.bar.failed(now, 1);
+                return lane.bar.failed(now, aim, 1);
             }
             Outcome::Moot => return,
         };
         let lane = &mut replica.known.lanes[at];
-        let over_at = lane.over_at();
+        let over_at = lane.over_at(aim);
         lane.recent.rotate_left(1);
         lane.recent[ANSWERS_A_READING - 1] = (now, delay);
-        if lane.over_at() != over_at {
-            self.readings.put(lane.over_at(), (attempt.replica, at));
+        if lane.over_at(aim) != over_at {
+            self.readings.put(lane.over_at(aim), (attempt.replica, at));
         }
     }
 
@@ -983,12 +985,13 @@
                 }
                 self.alarmed = true;
                 let Some(replica) = self.replicas.get_mut(&attempt.replica) else { continue };
+                let aim = self.cfg.classes[attempt.lane].aim_s;
                 let lane = &mut replica.known.lanes[attempt.lane];
                 let limit =
                     limits[attempt.lane].max(2.0 * self.pace.average * replica.known.slower.unwrap_or(0.0));
                 if !attempt.silent && self.now - sent_at > limit {
                     attempt.silent = true;
-                    lane.bar.failed(self.now, if lane.heard_at > sent_at { 1 } else { FAILURES_TO_BAR });
+                    lane.bar.failed(self.now, aim, if lane.heard_at > sent_at { 1 } else { FAILURES_TO_BAR });
                     if replica.known.heard_at <= sent_at && attempt.idle > IDLE_S {
                         self.idle_loss += IDLE_LOSS.0 * (1.0 - self.idle_loss);
                         replica.lost_idle = Some(attempt.idle);
@@ -996,7 +999,7 @@
                 }
                 if self.now - replica.known.heard_at.max(sent_at) > limit && replica.known.bar.until.is_none()
                 {
-                    replica.known.bar.failed(self.now, FAILURES_TO_BAR);
+                    replica.known.bar.failed(self.now, aim, FAILURES_TO_BAR);
                 }
             }
         }
@@ -1018,9 +1021,10 @@
         }
         for (at, (id, class)) in self.readings.due(self.now) {
             let lane = self.replicas.get_mut(&id).and_then(|replica| replica.known.lanes.get_mut(class));
-            let Some(lane) = lane.filter(|lane| lane.over_at() == at) else { continue };
-            lane.read(self.now, THRESHOLD * self.cfg.classes[class].aim_s);
-            self.readings.put(lane.over_at(), (id, class));
+            let aim = self.cfg.classes[class].aim_s;
+            let Some(lane) = lane.filter(|lane| lane.over_at(aim) == at) else { continue };
+            lane.read(self.now, aim);
+            self.readings.put(lane.over_at(aim), (id, class));
         }
     }
 }
@@ -1032,22 +1036,24 @@
     }
 
     /// When its interval is over: sooner where a reading can be taken.
-    fn over_at(&self) -> f64 {
+    fn over_at(&self, aim: f64) -> f64 {
         let heard = self.recent[ANSWERS_A_READING - 1].0 > self.since;
-        let unread = if heard { EMPTY_S.1 } else { EMPTY_S.0 };
+        let unread = aim * if heard { EMPTY.1 } else { EMPTY.0 };
         self.since + if self.readable() { INTERVAL_S } else { unread }
     }
 
-    /// The end of an interval moves the price: a proportional rise, a one-token fall.
-    fn read(&mut self, now: f64, threshold: f64) {
-        if now < self.over_at() {
+    /// The end of an interval moves the price: a proportional rise, a one-token fall. Some queries always
+    /// pass: where none do, no answer ever tells that it may fall.
+    fn read(&mut self, now: f64, aim: f64) {
+        if now < self.over_at(aim) {
             return;
         }
+        let threshold = THRESHOLD * aim;
         let lowest = || self.recent.iter().map(|(_, delay)| *delay).fold(f64::MAX, f64::min);
         let delay = if self.readable() { lowest() } else { 0.0 };
         let rise = (RISE.0 * (delay - threshold) / threshold).clamp(0.0, RISE.1);
         let fall = if delay < threshold / 2.0 { FALL } else { 0.0 };
-        (self.since, self.price) = (now, (self.price + rise - fall).clamp(0.0, TOKENS));
+        (self.since, self.price) = (now, (self.price + rise - fall).clamp(0.0, MOST_REFUSED * TOKENS));
     }
 }
 
