--- a/src/settings.rs
+++ b/src/settings.rs
@@ -713,6 +713,10 @@
             .phases
             .classes
             .is_empty());
+        let sets = Config::decode(include_str!("../deploy/sets.yaml").as_bytes()).unwrap().options().unwrap();
+        let policy = sets.deployment.policy;
+        assert_eq!((policy.cells, policy.reach, policy.call_parts, policy.max_attempts), (2, 1, 8, 3));
+        assert!(!policy.second_copies && !policy.must_ask && policy.call_work_s > 0.05);
     }
 
     fn decode_file(text: &str) -> Setup {
