Move the list's types below net/, and the settings' error out of the circle with yaml.rs

Member, Directory, Speech and the form of a list are src/members.rs now; SettingsError has a file of its own.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -241,7 +241,7 @@
         if let Ok(list) = json::from_str(&state.list) {
             // The later of two versions holds, but versions of another discovery mean nothing to this one.
             let same = state.discovery == self.discovery.map(|address| address.to_string());
-            if same && super::discovery::revision(&list) > self.revision {
+            if same && crate::members::revision(&list) > self.revision {
                 self.take_list(&list);
             } else if self.revision.is_none() {
                 self.take_list(&list);
--- a/src/net/leaf.rs
+++ b/src/net/leaf.rs
@@ -9,6 +9,7 @@
 use super::opensearch;
 use crate::api::{Outcome, ReplicaId};
 use crate::core::{AttemptKey, CallPart, Style};
+use crate::members::Speech;
 use mio::net::TcpStream;
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
@@ -24,16 +25,6 @@
 /// Longest load report that is kept.
 const REPORT_MOST: usize = 200;
 
-/// What a replica speaks.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Speech {
-    /// The platform's frames.
-    #[default]
-    Frames,
-    /// The search API over HTTP/1.1.
-    Search,
-}
-
 /// A part that is out on a connection. It stays, without its attempt, after that was given up: its answer
 /// may still come, and must not be taken for that of a later attempt of the same part.
 struct Stream {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,10 +19,12 @@
 
 use crate::choices::connections;
 use crate::core::{AttemptKey, Command, Core, Style};
+pub use crate::members::ConnKey;
+use crate::members::Directory;
 use crate::settings::{Config, Deployment, Options, Shape};
 use agenda::{Agenda, Due};
 use clients::{Client, ClientState};
-use discovery::{Directory, DiscoveryConn};
+use discovery::DiscoveryConn;
 use leaf::LeafConn;
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Token};
@@ -68,11 +70,6 @@
 const DOOR: Token = Token(6);
 const STYLES: [Style; 2] = [Style::Platform, Style::Search];
 
-slotmap::new_key_type! {
-    /// A connection in the table.
-    pub struct ConnKey;
-}
-
 fn token(key: ConnKey) -> Token {
     Token(key.data().as_ffi() as usize)
 }
@@ -132,14 +129,6 @@
     pub fn wall_now_ms(&self, now: f64) -> u64 {
         (now * 1000.0).max(0.0) as u64
     }
-
-    /// A Unix time in milliseconds on this clock; 0 where it is unset or too long ago to matter.
-    pub fn from_wall_ms(&self, at: f64) -> f64 {
-        if at <= 0.0 || !at.is_finite() {
-            return 0.0;
-        }
-        at / 1000.0
-    }
 }
 
 /// From start to exit.
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -3,9 +3,9 @@
 //! This file owns the form of the platform's client protocol and nothing else. It must never hold a request
 //! or a socket, and never answer with a value that no replica gave.
 
-use super::discovery::Member;
 use super::http::{self, Message, Start};
 use crate::core::{Asked, AskedPart, Final, Style, Why};
+use crate::members::Member;
 use crate::settings::Deployment;
 use miniserde::{json, Deserialize, Serialize};
 use std::collections::BTreeSet;
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -4,11 +4,12 @@
 //! `leaf.rs`'s. It must never choose the replica (the module does), and never let something new leave for one that
 //! drains but at once.
 
-use super::leaf::{LeafConn, Said, Speech};
+use super::leaf::{LeafConn, Said};
 use super::{came_up, Conn, ConnKey, Due, Mixer, IDLE_SHARE, STYLES};
 use crate::api::{Outcome, ReplicaId};
 use crate::choices::connections;
 use crate::core::{AttemptKey, CallPart};
+use crate::members::Speech;
 use mio::net::TcpStream;
 use std::io;
 use std::net::SocketAddr;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,7 @@
 
 use crate::api::*;
 use crate::choices::phases;
+pub use crate::settings_error::SettingsError;
 use crate::store::Registers;
 use crate::vrrp;
 use crate::yaml;
@@ -13,7 +14,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use thiserror::Error;
 
 /// After SIGTERM clients are served for so long before the listeners close, where nothing else is set (seconds).
 const DRAIN_S: f64 = 0.7;
@@ -37,32 +37,6 @@
     "settings.rules.ratioSpanS",
 ];
 
-/// Why settings could not be used.
-#[derive(Debug, Error)]
-pub enum SettingsError {
-    /// The file could not be read.
-    #[error("cannot be read: {0}")]
-    Unreadable(#[from] std::io::Error),
-    /// The text is not UTF-8.
-    #[error("settings are not UTF-8: {0}")]
-    NotText(#[from] std::str::Utf8Error),
-    /// The text is not YAML.
-    #[error("settings: not YAML: {0}")]
-    NotYaml(String),
-    /// The text is not JSON of the right form.
-    #[error("settings: not JSON of the expected form (categories and the other keys)")]
-    NotJson,
-    /// A key that is needed is not there.
-    #[error("settings: {0} is missing")]
-    Missing(&'static str),
-    /// A key is not there that was there before.
-    #[error("settings: {0} is missing, and was there before")]
-    Lost(String),
-    /// A value makes no sense.
-    #[error("settings: {0}")]
-    Senseless(String),
-}
-
 /// A deployment's settings: those of the decision module, and those that only a real mixer needs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Deployment {
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use wharfhub::api::{Outcome, ReplicaEntry, ReplicaId};
 use wharfhub::core::{Asked, AskedPart, AttemptKey, CallPart, Command, Core};
-use wharfhub::net::leaf::{LeafConn, Speech};
+use wharfhub::members::Speech;
+use wharfhub::net::leaf::LeafConn;
 
 const DOUBT_S: f64 = 0.1;
 
