--- /dev/null
+++ b/src/settings/tests.rs
@@ -0,0 +1,80 @@
+//! Tests of settings.rs that need its privates.
+
+use super::*;
+
+/// A file cut anywhere is no configuration, and one without a line that was there before is not taken either,
+/// but for what counts at a start only.
+#[test]
+fn what_was_there_before_must_be_there_again() {
+    let text = include_str!("../../examples/config.json");
+    for end in 0..text.trim_end().len() {
+        assert!(Config::decode(&text.as_bytes()[..end]).is_err(), "cut after {end} bytes");
+    }
+    let shape = |text: &str| Config::decode(text.as_bytes()).unwrap().shape;
+    let without = |line: &str| {
+        assert!(text.contains(line), "{line} is not there");
+        shape(&text.replacen(line, "", 1)).covers(&shape(text))
+    };
+    for line in
+        ["\"mostHeld\": 214,", "\"coldFrom\": 0.2, ", "\"cells\": 2, ", "\"limits\": {\"sockets\": 1024},"]
+    {
+        assert!(matches!(without(line), Err(SettingsError::Lost(_))), "{line} is not missed");
+    }
+    assert!(without("\"operator\": \"127.0.0.1:7300\",").is_ok());
+}
+
+/// The operators' examples are taken, in either form, and say what they seem to.
+#[test]
+fn the_files_under_deploy_are_sound() {
+    let yaml = include_str!("../../deploy/two-phase.yaml");
+    let options = Config::decode(yaml.as_bytes()).unwrap().options().unwrap();
+    assert_eq!((options.deployment.phases.classes, options.deployment.shards), (vec![0], 4));
+    assert!(decode_file(include_str!("../../deploy/operator.json"))
+        .deployment()
+        .unwrap()
+        .phases
+        .classes
+        .is_empty());
+    let sets = Config::decode(include_str!("../../deploy/sets.yaml").as_bytes()).unwrap().options().unwrap();
+    let policy = sets.deployment.policy;
+    assert_eq!((policy.cells, policy.reach, policy.call_parts, policy.max_attempts), (2, 1, 8, 3));
+    assert!(!policy.second_copies && !policy.must_ask && policy.call_work_s > 0.05);
+}
+
+fn decode_file(text: &str) -> Setup {
+    Config::decode(text.as_bytes()).unwrap().json.settings
+}
+
+/// A setting of phases that makes no sense is an error that names its key.
+#[rstest::rstest]
+#[case("\"classes\": [\"nobody\"]", "phases.classes: there is no class \"nobody\"")]
+#[case("\"classes\": [\"stem-hold\"]", "\"stem-hold\" is not safe to repeat")]
+#[case("\"classes\": [\"slot-check\", \"slot-check\"]", "stands there twice")]
+#[case("\"classes\": [], \"leastParts\": 0", "phases.leastParts: 0 is no whole number")]
+#[case("\"classes\": [], \"tryAgainEvery\": 1.5", "phases.tryAgainEvery: 1.5 is no whole number")]
+#[case("\"classes\": [], \"mostShare\": 0.9", "phases.mostShare: 0.9 is not within")]
+fn senseless_phases_are_named(#[case] phases: &str, #[case] named: &str) {
+    let file = include_str!("../../deploy/operator.json");
+    let file = file.replace("\"settings\": {", &format!("\"settings\": {{\"phases\": {{{phases}}},"));
+    let error = decode_file(&file).deployment().unwrap_err().to_string();
+    assert!(error.contains(named), "{error}");
+}
+
+/// Settings that the store's data folder kept come before those of the file.
+#[test]
+fn stored_settings_come_before_the_file() {
+    let folder = std::env::temp_dir().join(format!("wharfhub-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let settings = |name: &str| format!(r#"{{"categories":[{{"name":"{name}","aimS":1.0,"giveUpS":2.0}}]}}"#);
+    let config = || {
+        let store = format!(r#"{{"node":1,"listen":"127.0.0.1:0","folder":{folder:?},"peers":[]}}"#);
+        let file = settings("file");
+        let text = format!(r#"{{"listen":"127.0.0.1:0","store":{store},"settings":{file}}}"#);
+        Config::decode(text.as_bytes()).unwrap().options().unwrap().deployment.classes
+    };
+    assert_eq!(config(), ["file"]);
+    let version = crate::store::Version { counter: 1, node: 1 };
+    Registers::open(&folder).unwrap().put("settings", version, &settings("stored")).unwrap();
+    assert_eq!(config(), ["stored"]);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- /dev/null
+++ b/src/store/tests.rs
@@ -0,0 +1,104 @@
+//! Tests of store.rs that need its privates.
+
+use super::*;
+
+/// Plays an operation of a node among those that can be reached.
+fn play(nodes: &mut [Registers], node: u32, write: Option<&str>, reach: &[usize]) -> Option<Done> {
+    let (mut operation, mut message) =
+        Operation::begin(9, "k", write.map(String::from), (node, nodes.len()), 0);
+    loop {
+        let mut next = None;
+        for at in reach {
+            let Some(answer) = nodes[*at].serve(&message) else { continue };
+            match operation.take(*at as u32, answer) {
+                Some(Ok(done)) => return Some(done),
+                Some(Err(message)) => next = Some(message),
+                None => {}
+            }
+        }
+        message = next?;
+    }
+}
+
+fn three() -> Vec<Registers> {
+    (0..3).map(|_| Registers::in_memory()).collect()
+}
+
+#[test]
+fn a_read_after_a_write_sees_it_over_any_majority() {
+    let mut nodes = three();
+    assert_eq!(play(&mut nodes, 0, None, &[0, 2]).map(|done| done.value), Some(None));
+    assert!(play(&mut nodes, 0, Some("one"), &[0, 1]).is_some());
+    assert!(play(&mut nodes, 2, Some("two"), &[2, 1]).is_some_and(|done| done.version.counter == 2));
+    for reach in [[0, 1], [0, 2], [1, 2]] {
+        let read = play(&mut nodes, 0, None, &reach).and_then(|done| done.value);
+        assert_eq!(read.as_deref(), Some("two"), "{reach:?}");
+    }
+}
+
+/// A write that reached one node only: once a read has returned it, no later read may miss it.
+#[test]
+fn a_read_writes_back_what_it_returns() {
+    let mut nodes = three();
+    assert!(nodes[2].put("k", Version { counter: 1, node: 2 }, "half").is_ok());
+    assert_eq!(play(&mut nodes, 0, None, &[1, 2]).and_then(|done| done.value).as_deref(), Some("half"));
+    assert_eq!(play(&mut nodes, 0, None, &[0, 1]).and_then(|done| done.value).as_deref(), Some("half"));
+}
+
+#[test]
+fn no_majority_is_no_answer_and_equal_counters_go_by_node() {
+    let mut nodes = three();
+    assert_eq!(play(&mut nodes, 0, Some("one"), &[0]), None);
+    assert_eq!(play(&mut nodes, 0, None, &[1]), None);
+    let mut register = Registers::in_memory();
+    for (node, value) in [(1, "b"), (0, "a"), (1, "c")] {
+        assert!(register.put("k", Version { counter: 1, node }, value).is_ok());
+    }
+    assert_eq!(register.get("k").1, Some("b"), "neither a lower node nor the same version again");
+}
+
+#[test]
+fn an_answer_counts_once_and_in_its_step() {
+    let (mut operation, asked) = Operation::begin(1, "k", Some("v".into()), (0, 3), 0);
+    let answer = Message { answer: true, ..asked };
+    assert!(operation.take(0, answer.clone()).is_none());
+    assert!(operation.take(0, answer.clone()).is_none(), "the same node twice is no majority");
+    assert!(matches!(operation.take(1, answer.clone()), Some(Err(_))));
+    assert!(operation.take(2, answer.clone()).is_none(), "of the first step, in the second");
+    let other = Message { operation: 2, step: 2, ..answer };
+    assert!(operation.take(2, other).is_none(), "of another operation");
+}
+
+#[test]
+fn a_data_folder_keeps_registers_and_a_damaged_file_is_an_error() {
+    let folder = std::env::temp_dir().join(format!("wharfhub-store-{}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap();
+    let version = Version { counter: 3, node: 1 };
+    Registers::open(&folder).unwrap().put("k", version, "kept \"so\"").unwrap();
+    assert_eq!(Registers::open(&folder).unwrap().get("k"), (version, Some("kept \"so\"")));
+    let path = folder.join(FILE_NAME);
+    let text = fs::read_to_string(&path).unwrap();
+    for damaged in [text.replace("kept", "bent"), text[..text.len() / 2].to_string(), String::new()] {
+        fs::write(&path, damaged).unwrap();
+        assert!(matches!(Registers::open(&folder), Err(StoreError::Damaged)));
+    }
+    fs::remove_dir_all(&folder).unwrap();
+    let mut gone = Registers { folder: Some(folder), ..Registers::default() };
+    assert!(matches!(gone.put("k", version, "v"), Err(StoreError::Disk(_))));
+    assert_eq!(gone.get("k").1, None, "not on disk, so not told");
+}
+
+#[test]
+fn messages_come_whole_or_not_at_all() {
+    let sent = Message { operation: 7, key: "k".into(), value: Some("a\nb".into()), ..Message::default() };
+    let bytes = sent.encode();
+    let mut buffer = Vec::new();
+    for byte in &bytes[..bytes.len() - 1] {
+        buffer.push(*byte);
+        assert!(matches!(Message::decode(&mut buffer), Ok(None)));
+    }
+    buffer.push(bytes[bytes.len() - 1]);
+    assert_eq!(Message::decode(&mut buffer).unwrap(), Some(sent));
+    assert!(Message::decode(&mut vec![255; 8]).is_err());
+    assert!(Message::decode(&mut vec![0, 0, 0, 1, b'x']).is_err());
+}
--- /dev/null
+++ b/src/times/tests.rs
@@ -0,0 +1,29 @@
+//! Tests of times.rs that need its privates.
+
+use super::*;
+
+/// Whatever is dropped, and in whatever order they come, those within the span are all there.
+#[test]
+fn all_within_the_span_are_counted() {
+    let (mut times, mut all) = (Vec::new(), Vec::new());
+    for step in 0..5000u32 {
+        let at = f64::from(step) * 0.01 - f64::from(step % 7) * 0.003;
+        add(&mut times, at, at - 1.5);
+        all.push(at);
+        let expected = all.iter().filter(|other| **other > at - 1.4).count();
+        assert_eq!(since(&times, at - 1.4), expected);
+        assert!(times.len() < 200, "{} are kept", times.len());
+    }
+}
+
+#[test]
+fn keys_are_due_in_their_order_wherever_they_were_put() {
+    let mut schedule = Schedule::default();
+    [(3.0, 'c'), (1.0, 'b'), (1.5, 'a')].into_iter().for_each(|(at, key)| schedule.put(at, key));
+    schedule.put(0.5, 'c'); // sooner: whoever sees it again at 3.0 knows that it has moved
+    schedule.put(1.5004, 'd'); // in the same millisecond, and not due yet
+    assert_eq!(schedule.due(1.5), [(1.5, 'a'), (1.0, 'b'), (0.5, 'c')]);
+    assert_eq!(schedule.due(2.0), [(1.5004, 'd')]);
+    assert_eq!(schedule.due(100.0), [(3.0, 'c')]);
+    assert!(schedule.due(1000.0).is_empty());
+}
--- a/src/yaml.rs
+++ b/src/yaml.rs
@@ -65,30 +65,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn yaml_says_what_json_says() {
-        let text = "a: 1\nb: [true, -2, 0.5, '7']\nc: {d: null, e: text}\nf: 127.0.0.1:80\n";
-        let json = r#"{"a":1,"b":[true,-2,0.5,"7"],"c":{"d":null,"e":"text"},"f":"127.0.0.1:80"}"#;
-        assert_eq!(to_json(text).unwrap(), json);
-    }
-
-    #[rstest::rstest]
-    #[case("a: 1\n---\nb: 2\n", "documents")]
-    #[case("a: [1", "YAML")]
-    #[case("x: {1: 2}", "a key of x is no text")]
-    #[case("x: {y: .inf}", "x.y is no number")]
-    #[case("x: !secret 1", "x has a tag")]
-    #[case("a: 1\na: 2\n", "duplicate")]
-    fn what_json_cannot_say_is_an_error_that_names_it(#[case] text: &str, #[case] named: &str) {
-        let error = to_json(text).unwrap_err().to_string();
-        assert!(error.contains(named), "{error}");
-    }
-
-    #[test]
-    fn nesting_without_end_is_refused() {
-        assert!(to_json(&format!("{}1{}", "[".repeat(100), "]".repeat(100))).is_err());
-    }
-}
+mod tests;
