Take a client that closes its side as gone at once; let no 503 for want of room be destroyed

Read in the code and confirmed by tests that fail without the mend: conn_event (net/mod.rs) let a request go on whose client had closed its side (it left only on a reset), half-close.txt said that such a client still reads. Now the end is heeded while a request is held, also behind requests sent ahead (heed_end reads up to 4 KiB of them), on both fronts; nothing is begun for a request behind which the end has come already. A call of several parts that waits for its connection left whole though all its parts had been given up (call_off took only calls of one part): parts are cut out of it. Where attempts may not be called off, those of a request that is over are taken back if they have not begun to leave (Command::Unsend). A keyed repeat that is stuck half-way beyond its window ends its connection. turn_away wrote a 503 and closed over the request: a reset, always where the request had come first. It waits for the client's end now, 8 at a time; a last answer is out for 0.25 s before its connection may be evicted.

--- a/crates/wharfhub-lab/src/links.rs
+++ b/crates/wharfhub-lab/src/links.rs
@@ -81,6 +81,15 @@
         self.boxes.get(&boxed).map(|links| links.iter().map(|link| link.id).collect()).unwrap_or_default()
     }
 
+    /// What waits for its connection, and nobody waits for, does not leave. Says whether it waited.
+    pub fn unsend(&mut self, attempt: AttemptKey) -> bool {
+        self.boxes.values_mut().flatten().any(|link| {
+            let before = link.waiting.len();
+            link.waiting.retain(|part| part.attempt != attempt);
+            link.waiting.len() < before
+        })
+    }
+
     /// How a call of so many parts goes there. A new connection is here from now on.
     pub fn choose(&mut self, boxed: u32, parts: usize, carrier: &Carrier) -> Way {
         let (now, doubt_s, idle_s) = (carrier.now, carrier.doubt_s(), IDLE_SHARE * self.idle_s);
--- a/crates/wharfhub-lab/src/world.rs
+++ b/crates/wharfhub-lab/src/world.rs
@@ -300,15 +300,15 @@
         loop {
             let unsent = self.carry_out(mixer, &mut commands);
             let Some(core) = self.mixers[mixer].core.as_mut().filter(|_| !unsent.is_empty()) else { break };
-            for attempt in unsent {
-                core.ended(self.now, attempt, Outcome::ConnectFailed, None, &mut commands);
+            for (attempt, outcome) in unsent {
+                core.ended(self.now, attempt, outcome, None, &mut commands);
             }
         }
         self.commands = commands;
     }
 
-    /// Carries out what a mixer commands; gives the attempts for which there is no connection.
-    fn carry_out(&mut self, mixer: usize, commands: &mut Vec<Command>) -> Vec<AttemptKey> {
+    /// Carries out what a mixer commands; gives the attempts that never leave, and why: for want of a connection, or of need.
+    fn carry_out(&mut self, mixer: usize, commands: &mut Vec<Command>) -> Vec<(AttemptKey, Outcome)> {
         let life = self.mixers[mixer].life;
         let mut unsent = Vec::new();
         for command in commands.drain(..) {
@@ -320,7 +320,8 @@
                             u64::from(boxed) << 32 | u64::from(part.asked.parts[part.place].shard) << 1,
                         );
                     }
-                    unsent.extend(self.call(mixer, boxed, parts));
+                    let none = self.call(mixer, boxed, parts).into_iter();
+                    unsent.extend(none.map(|attempt| (attempt, Outcome::ConnectFailed)));
                 }
                 Command::Reply { caller, last, took_s, .. } => {
                     self.note((took_s * 1e6) as u64 ^ caller);
@@ -331,6 +332,11 @@
                     self.note(3);
                     self.give_up(mixer, attempt);
                 }
+                Command::Unsend { attempt } => {
+                    if self.mixers[mixer].links.unsend(attempt) {
+                        unsent.push((attempt, Outcome::Moot));
+                    }
+                }
                 Command::CloseIdle { replica } => self.mixers[mixer].links.close_idle(replica.0 - 1),
                 // The list tells all unasked.
                 Command::Watch | Command::Log(_) => {}
--- a/src/core.rs
+++ b/src/core.rs
@@ -163,6 +163,11 @@
         /// Which.
         attempt: AttemptKey,
     },
+    /// Nobody waits for this attempt any more, and replicas can't be told: it must not leave if it has not begun to.
+    Unsend {
+        /// Which.
+        attempt: AttemptKey,
+    },
     /// Give the caller the final answer.
     Reply {
         /// As handed to [`Core::take`].
@@ -558,6 +563,7 @@
             if let Some(figures) = self.class_figures(&request.asked) {
                 figures.left += 1;
             }
+            self.unsend(now, &request, out);
             self.feed(now, Event::ClientLeft(request.query), out);
         }
     }
@@ -635,12 +641,7 @@
                 else {
                     return;
                 };
-                // What was to be sent in this very round has not left yet, and now never does.
-                let waiting = self.calls.iter_mut().any(|(_, parts)| {
-                    let before = parts.len();
-                    parts.retain(|part| part.attempt != key);
-                    parts.len() < before
-                });
+                let waiting = self.uncall(key);
                 if !waiting {
                     out.push(Command::GiveUp { attempt: key });
                 }
@@ -784,6 +785,7 @@
     /// The one place where a request gets its final answer.
     fn finish(&mut self, now: f64, key: RequestKey, last: Final, out: &mut Vec<Command>) {
         let Some(request) = self.forget(key) else { return };
+        self.unsend(now, &request, out);
         let took_s = now - request.taken_at;
         let aim_s = request.rules.aim_s;
         if let Some(figures) = self.class_figures(&request.asked) {
@@ -800,6 +802,31 @@
         out.push(Command::Reply { caller: request.caller, last, asked: request.asked, took_s });
     }
 
+    /// What was to be sent in this very round has not left yet, and now never does. Says whether it was so.
+    fn uncall(&mut self, key: AttemptKey) -> bool {
+        self.calls.iter_mut().any(|(_, parts)| {
+            let before = parts.len();
+            parts.retain(|part| part.attempt != key);
+            parts.len() < before
+        })
+    }
+
+    /// A request is over. Where the module may not call its attempts off, those that still wait must not leave either.
+    fn unsend(&mut self, now: f64, request: &Request, out: &mut Vec<Command>) {
+        if self.deployment.policy.cancel {
+            return;
+        }
+        let parts = request.parts.iter().filter_map(|id| self.parts.get(id));
+        let attempts: Vec<AttemptKey> = parts.flat_map(|part| part.attempts.iter().flatten().copied()).collect();
+        for attempt in attempts {
+            if self.uncall(attempt) {
+                self.end_attempt(now, attempt, Outcome::Moot, None);
+            } else {
+                out.push(Command::Unsend { attempt });
+            }
+        }
+    }
+
     fn class_figures(&mut self, asked: &Asked) -> Option<&mut ClassFigures> {
         self.figures[asked.style as usize].classes.get_mut(&asked.class_name)
     }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -21,6 +21,11 @@
 const FIRST_S: f64 = 2.5; // from connecting to the end of the first request
 const WRITE_S: f64 = 5.0;
 const LINGER_S: f64 = 1.0;
+/// A last answer that is out for less than this may still be on its way (seconds).
+const LINGER_LEAST_S: f64 = 0.25;
+/// Clients beyond the room for them that are told so and wait for the end of their connections, at most: they use
+/// descriptors that are spare.
+const TURNED_AWAY_MOST: usize = 8;
 /// A client that connected, or began to send, so lately is the last to make room for another one (seconds).
 const FRESH_S: f64 = 0.3;
 /// Bytes of a client that are thrown away after its last answer, at most.
@@ -28,6 +33,9 @@
 /// A client's buffer that is no longer small; what these hold together is bounded by the memory.
 const BUFFER_SMALL: usize = 4 * 1024;
 
+/// Bytes that a client may send ahead while its request is held; more stays unread.
+const AHEAD_MOST: usize = BUFFER_SMALL;
+
 /// What a client's connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum ClientState {
@@ -52,7 +60,7 @@
     pub(super) inbuf: Vec<u8>,
     pub(super) out: Vec<u8>,
     pub(super) written: usize,
-    pub(super) ended: bool, // its side is closed: nothing more comes, but it may still read
+    pub(super) ended: bool, // its side is closed: it has gone, whatever it could still read
     pub(super) close: bool, // after the answer
     pub(super) told_to_go_on: bool,
     pub(super) thrown_away: usize,
@@ -114,6 +122,12 @@
     }
 
     pub(super) fn take_client(&mut self, stream: TcpStream, style: Style) {
+        let key = self.insert_client(stream, style);
+        self.read_client(key);
+        self.watch_client(key);
+    }
+
+    fn insert_client(&mut self, stream: TcpStream, style: Style) -> ConnKey {
         let _ = stream.set_nodelay(true);
         let client = Client {
             stream,
@@ -135,19 +149,31 @@
         let key = self.conns.insert(Conn::Client(Box::new(client)));
         self.clients += 1;
         self.register(key);
-        self.read_client(key);
-        self.watch_client(key);
+        key
     }
 
-    /// A client for which there is no room, since all others wait for answers: told so, and cut off.
+    /// A client for which there is no room, since all others wait for answers: told so, and cut off. Guards that answer: a
+    /// close over what the client has sent, or still sends, would reset the connection and destroy it.
     pub(super) fn turn_away(&mut self, mut stream: TcpStream, style: Style) {
         let why = "no room for another client";
         let bytes = match style {
             Style::Platform => platform::error(503, why, &[], true),
             Style::Search => opensearch::no_room(why),
         };
-        // What does not fit into a new socket's buffer is not worth waiting for.
+        if self.clients < self.room().0 + TURNED_AWAY_MOST {
+            let key = self.insert_client(stream, style);
+            return self.respond(key, bytes, true);
+        }
+        // No descriptor is left to wait with: what has come is read, and what comes later is not waited for.
         let _ = stream.write(&bytes);
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+        let (mut buffer, mut most) = ([0; 16 * 1024], BODY_MOST);
+        while let Ok(count @ 1..) = stream.read(&mut buffer) {
+            most = most.saturating_sub(count);
+            if most == 0 {
+                return;
+            }
+        }
     }
 
     /// Puts the client's limit into the agenda, unless an earlier deadline there leads to it.
@@ -170,6 +196,7 @@
             let rank = |(key, conn): (ConnKey, &Conn)| match conn {
                 Conn::Client(client) => {
                     let rank = match client.state {
+                        ClientState::Lingering if self.now < client.since + LINGER_LEAST_S => return None,
                         ClientState::Lingering => 0,
                         ClientState::Reading if self.now < client.since + FRESH_S && !client.kept() => 2,
                         ClientState::Reading => 1,
@@ -262,6 +289,29 @@
         }
     }
 
+    /// A client whose request is held: if it has closed its side it has gone, and what it asked is over at once. Guards
+    /// the boxes against work that nobody waits for. What it sent ahead of that is read, for the end comes behind it.
+    pub(super) fn heed_end(&mut self, key: ConnKey) {
+        let mut buffer = [0; AHEAD_MOST];
+        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
+        while !client.ended && client.inbuf.len() < AHEAD_MOST {
+            let room = AHEAD_MOST - client.inbuf.len();
+            match client.stream.read(&mut buffer[..room]) {
+                Ok(0) => client.ended = true,
+                Ok(count) => client.inbuf.extend_from_slice(&buffer[..count]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => client.ended = true,
+            }
+        }
+        if client.ended {
+            if let ClientState::Held(request) = client.state {
+                self.core.leave(self.now, request, &mut self.commands);
+            }
+            self.drop_conn(key);
+        }
+    }
+
     /// Guards the memory against many large requests at once, each within its own bound: whether what clients
     /// have sent and we have not taken yet stays within its share.
     pub(super) fn fits(&self, key: ConnKey) -> bool {
@@ -338,7 +388,12 @@
     }
 
     /// Hands a request to the core. Held from here on; its answer may be among the commands already.
+    /// A client that has closed its side behind the request has gone: nothing is begun for it.
     pub(super) fn hold(&mut self, key: ConnKey, asked: Asked, context: Option<opensearch::Context>) {
+        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
+        if client.ended || matches!(client.stream.peek(&mut [0]), Ok(0)) {
+            return self.drop_conn(key);
+        }
         let request = self.core.take(self.now, asked, key.data().as_ffi(), &mut self.commands);
         if let Some(Conn::Client(client)) = self.conns.get_mut(key) {
             (client.state, client.since, client.context) = (ClientState::Held(request), self.now, context);
--- a/src/net/leaf.rs
+++ b/src/net/leaf.rs
@@ -16,6 +16,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// Bytes of a frame's length.
+const HEAD: usize = 4;
 /// Longest frame that a replica may send: a value that the client's answer could not hold is of no use.
 const FRAME_MOST: usize = 66 * 1024;
 /// An answer that has begun is whole after this time, or it is taken for one that never ends (seconds).
@@ -45,12 +47,31 @@
 
 struct Frame {
     bytes: Vec<u8>,
-    attempts: Vec<AttemptKey>,
+    parts: Vec<(AttemptKey, usize)>, // and how many of the last bytes are theirs, in order
     style: Style, // of the request that they belong to
     begun: bool,
     leave_by: f64,
 }
 
+impl Frame {
+    fn carries(&self, attempt: AttemptKey) -> bool {
+        self.parts.iter().any(|(other, _)| *other == attempt)
+    }
+
+    /// Takes a part out of a call of several that has not begun to leave. Gives how many bytes that were.
+    fn cut(&mut self, attempt: AttemptKey) -> usize {
+        let Some(place) = self.parts.iter().position(|(other, _)| *other == attempt) else { return 0 };
+        let own: usize = self.parts.iter().map(|(_, length)| length).sum();
+        let before: usize = self.parts[..place].iter().map(|(_, length)| length).sum();
+        let (_, length) = self.parts.remove(place);
+        let from = self.bytes.len() - own + before;
+        self.bytes.drain(from..from + length);
+        let rest = (self.bytes.len() - HEAD) as u32;
+        self.bytes[..HEAD].copy_from_slice(&rest.to_be_bytes());
+        length
+    }
+}
+
 /// What a replica said of an attempt.
 #[derive(Debug, PartialEq)]
 pub struct Said {
@@ -107,10 +128,11 @@
     out
 }
 
-/// The frame of one call.
-fn call(parts: &[CallPart]) -> Vec<u8> {
-    let mut rest = Vec::new();
+/// The frame of one call, and how many bytes of it are each part's.
+fn call(parts: &[CallPart]) -> (Vec<u8>, Vec<usize>) {
+    let (mut rest, mut lengths) = (Vec::new(), Vec::new());
     for part in parts {
+        let before = rest.len();
         let (id, text) = (part_id(part), part.asked.text.as_bytes());
         let shard = part.asked.parts[part.place].shard;
         let wait = (part.wait_s * 1000.0).floor().max(1.0) as u64;
@@ -118,8 +140,9 @@
         let ahead = if part.ahead { "p=1," } else { "" };
         rest.extend_from_slice(format!("{id} {shard} {ahead}d={wait}{key} {}\n", text.len()).as_bytes());
         rest.extend_from_slice(text);
+        lengths.push(rest.len() - before);
     }
-    frame(b'q', &rest)
+    (frame(b'q', &rest), lengths)
 }
 
 /// How a part ended, by the box's word.
@@ -299,12 +322,13 @@
 
     /// Takes a call; its bytes leave with [`LeafConn::flush`].
     pub fn call(&mut self, parts: &[CallPart], now: f64) {
-        let bytes = match self.speech {
+        let (bytes, lengths) = match self.speech {
             Speech::Frames => call(parts),
             Speech::Search => {
                 let requests =
                     parts.iter().map(|part| opensearch::leaf_request(part, self.address, self.shards));
-                requests.collect::<Vec<_>>().concat()
+                let requests: Vec<Vec<u8>> = requests.collect();
+                (requests.concat(), requests.iter().map(Vec::len).collect())
             }
         };
         for part in parts {
@@ -318,10 +342,10 @@
             });
         }
         self.waiting += bytes.len();
-        let attempts = parts.iter().map(|part| part.attempt).collect();
+        let attempts = parts.iter().map(|part| part.attempt).zip(lengths).collect();
         let style = parts.first().map_or(Style::Platform, |part| part.asked.style);
         let leave_by = parts.iter().map(|part| part.leave_by).fold(f64::INFINITY, f64::min);
-        self.frames.push_back(Frame { bytes, attempts, style, begun: false, leave_by });
+        self.frames.push_back(Frame { bytes, parts: attempts, style, begun: false, leave_by });
         self.used_at = now;
         self.asked_at.get_or_insert(now);
     }
@@ -341,12 +365,8 @@
         let Some(at) = self.streams.iter().position(|stream| stream.attempt == Some(attempt)) else {
             return false;
         };
-        // What has not begun to leave, and is alone in its call, never leaves.
-        let alone = |frame: &Frame| !frame.begun && frame.attempts == [attempt];
-        if let Some(place) = self.frames.iter().position(alone) {
-            self.waiting -= self.frames[place].bytes.len();
-            self.frames.remove(place);
-            self.streams.remove(at);
+        // What has not begun to leave never leaves, also where others in its call do.
+        if self.unsend(attempt) {
             return false;
         }
         self.streams[at].attempt = None;
@@ -355,11 +375,25 @@
         }
         let bytes = frame(b'c', self.streams[at].id.as_bytes());
         self.waiting += bytes.len();
-        let (attempts, leave_by) = (Vec::new(), f64::INFINITY);
-        self.frames.push_back(Frame { bytes, attempts, style: Style::Platform, begun: false, leave_by });
+        let (parts, leave_by) = (Vec::new(), f64::INFINITY);
+        self.frames.push_back(Frame { bytes, parts, style: Style::Platform, begun: false, leave_by });
         false
     }
 
+    /// Nobody waits for this attempt any more: it does not leave, unless it has begun to. Says whether it never will.
+    pub fn unsend(&mut self, attempt: AttemptKey) -> bool {
+        let waits = |frame: &Frame| !frame.begun && frame.carries(attempt);
+        let Some(place) = self.frames.iter().position(waits) else { return false };
+        if self.frames[place].parts.len() == 1 {
+            self.waiting -= self.frames[place].bytes.len();
+            self.frames.remove(place);
+        } else {
+            self.waiting -= self.frames[place].cut(attempt);
+        }
+        self.streams.retain(|stream| stream.attempt != Some(attempt));
+        true
+    }
+
     /// Drops every call that has not begun to leave: the replica must get nothing new. Gives the attempts.
     pub fn withdraw(&mut self) -> Vec<AttemptKey> {
         self.withdraw_where(|_| true)
@@ -371,12 +405,17 @@
         self.withdraw_where(|frame| frame.leave_by < now)
     }
 
+    /// Whether a call is stuck half-way that must not arrive any more: only the end of the connection keeps its last byte back.
+    pub fn stuck_late(&self, now: f64) -> bool {
+        self.frames.front().is_some_and(|frame| frame.begun && frame.leave_by < now)
+    }
+
     fn withdraw_where(&mut self, which: impl Fn(&Frame) -> bool) -> Vec<AttemptKey> {
         let mut withdrawn = Vec::new();
         self.frames.retain(|frame| {
-            let keep = frame.begun || frame.attempts.is_empty() || !which(frame);
+            let keep = frame.begun || frame.parts.is_empty() || !which(frame);
             if !keep {
-                withdrawn.extend(&frame.attempts);
+                withdrawn.extend(frame.parts.iter().map(|(attempt, _)| *attempt));
             }
             keep
         });
@@ -403,9 +442,9 @@
             }
             if self.sent == frame.bytes.len() {
                 for stream in &mut self.streams {
-                    stream.written |= stream.attempt.is_some_and(|attempt| frame.attempts.contains(&attempt));
+                    stream.written |= stream.attempt.is_some_and(|attempt| frame.carries(attempt));
                 }
-                self.written[frame.style as usize] += frame.attempts.len() as u64;
+                self.written[frame.style as usize] += frame.parts.len() as u64;
                 self.sent = 0;
                 self.frames.pop_front();
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -400,6 +400,7 @@
                 match command {
                     Command::Call { replica, parts } => self.call(replica, parts),
                     Command::GiveUp { attempt } => self.give_up(attempt),
+                    Command::Unsend { attempt } => self.unsend(attempt),
                     Command::Reply { caller, last, asked, took_s } => {
                         let key = ConnKey::from(KeyData::from_ffi(caller));
                         let close = self.parts_with_clients();
@@ -619,17 +620,10 @@
     fn conn_event(&mut self, key: ConnKey, gone: bool, read_closed: bool) {
         match self.conns.get_mut(key) {
             Some(Conn::Client(client)) => {
-                if let (true, ClientState::Held(request)) = (gone, client.state) {
-                    self.core.leave(self.now, request, &mut self.commands);
-                    return self.drop_conn(key);
-                }
-                if gone && client.state == ClientState::Waiting {
-                    return self.drop_conn(key);
-                }
-                client.ended |= read_closed;
+                client.ended |= gone || read_closed;
                 match client.state {
                     ClientState::Writing => self.write_client(key),
-                    ClientState::Held(_) | ClientState::Waiting => {}
+                    ClientState::Held(_) | ClientState::Waiting => self.heed_end(key),
                     _ => self.read_client(key),
                 }
             }
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -80,7 +80,8 @@
     pub(super) fn flush_leaf(&mut self, key: ConnKey) -> io::Result<()> {
         let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return Ok(()) };
         let late = leaf.withdraw_late(self.now);
-        let flushed = leaf.flush();
+        let stuck = leaf.stuck_late(self.now);
+        let flushed = if stuck { Err(io::Error::other("a repeat is stuck beyond its window")) } else { leaf.flush() };
         for (style, count) in STYLES.into_iter().zip(std::mem::take(&mut leaf.written)) {
             self.core.written(style, count);
         }
@@ -228,6 +229,16 @@
         }
     }
 
+    /// Nobody waits for an attempt, and boxes can't be told: what has not begun to leave stays here.
+    pub(super) fn unsend(&mut self, attempt: AttemptKey) {
+        let Some(key) = self.flights.get(attempt).copied() else { return };
+        let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return };
+        if leaf.unsend(attempt) {
+            self.flights.remove(attempt);
+            self.core.ended(self.now, attempt, Outcome::Moot, None, &mut self.commands);
+        }
+    }
+
     /// Silence of a replica's connection that makes us doubt it now (seconds).
     fn doubt_s(&self) -> f64 {
         let aims = self.deployment.policy.classes.iter().map(|class| class.aim_s);
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -122,3 +122,86 @@
     assert!(!leaf.fell_silent(1.2, DOUBT_S, 0.9), "what was asked sooner may well be answered sooner");
     assert!(leaf.fell_silent(1.15, DOUBT_S, 1.12));
 }
+
+/// A call of three parts waits for its connection, and the client of two of them goes: only the third leaves. Where the
+/// client of all goes, nothing does.
+#[test]
+fn what_nobody_waits_for_is_cut_out_of_a_call_that_waits() {
+    for (gone, left) in [(vec![0, 2], vec!["q1.3"]), (vec![0, 1, 2], vec![])] {
+        let (listener, mut leaf) = connection();
+        leaf.up = false;
+        let mut keys: slotmap::SlotMap<AttemptKey, ()> = slotmap::SlotMap::with_key();
+        let attempts: Vec<AttemptKey> = (0..3).map(|_| keys.insert(())).collect();
+        let part = |number: usize| {
+            let parts = vec![AskedPart { shard: 3, weight: 1.0, hint_s: None }];
+            let text = "t".repeat(10 * (number + 1));
+            let asked = Rc::new(Asked { id: format!("q{number}"), text, parts, ..Asked::default() });
+            let (attempt, leave_by) = (attempts[number], f64::INFINITY);
+            CallPart { attempt, asked, place: 0, wait_s: 1.0, ahead: false, leave_by }
+        };
+        leaf.call(&[part(0), part(1), part(2)], 1.0);
+        // One is given up, the others only not sent: boxes that can't be told are no reason to send what is over.
+        for number in gone {
+            let given_up = number == 0 && !leaf.give_up(attempts[0], 1.1, DOUBT_S);
+            assert!(given_up || leaf.unsend(attempts[number]));
+        }
+        leaf.up = true;
+        leaf.flush().expect("room in the socket");
+        let again = leaf.unsend(attempts[1]);
+        assert!(!again, "what has left has left");
+        drop(leaf);
+        let (mut peer, mut bytes) = (listener.accept().expect("a connection").0, Vec::new());
+        std::io::Read::read_to_end(&mut peer, &mut bytes).expect("all of it");
+        let wanted = left.iter().map(|id| format!("{id} 3 d=1000 20\n{}", "t".repeat(20)));
+        let wanted: Vec<u8> = wanted
+            .flat_map(|part| {
+                let head = (part.len() as u32 + 1).to_be_bytes();
+                [&head[..], b"q", part.as_bytes()].concat()
+            })
+            .collect();
+        assert_eq!(bytes, wanted, "{}", String::from_utf8_lossy(&bytes));
+    }
+}
+
+/// A core that holds a request of one part, whose attempt is out; and the request.
+fn held(cancel: bool) -> (Core, Vec<Command>, wharfhub::core::RequestKey) {
+    let settings = format!(
+        r#"{{"categories":[{{"name":"slot","aimS":1,"giveUpS":5,"effect":"retryable"}}],
+        "permissions":{{"sendCap":4,"cancelling":{cancel}}},"familyInfo":{{"cells":1,"slabs":1}}}}"#
+    );
+    let deployment = Rc::new(wharfhub::settings::decode(settings.as_bytes()).expect("settings"));
+    let (mut core, mut out) = (Core::new(deployment, 7, 0.0), Vec::new());
+    core.list(0.0, true, vec![ReplicaEntry { id: ReplicaId(1), ..ReplicaEntry::default() }], &mut out);
+    let parts = vec![AskedPart { shard: 0, weight: 1.0, hint_s: None }];
+    let asked = Asked { id: "q".into(), class_name: "slot".into(), wait_s: 5.0, parts, ..Asked::default() };
+    let key = core.take(0.1, asked, 1, &mut out);
+    (core, out, key)
+}
+
+/// The attempts that are to leave.
+fn calls(out: &[Command]) -> Vec<AttemptKey> {
+    let call = |command: &Command| match command {
+        Command::Call { parts, .. } => parts.iter().map(|part| part.attempt).collect(),
+        _ => Vec::new(),
+    };
+    out.iter().flat_map(call).collect()
+}
+
+/// Where attempts can't be called off, those of a request that is over must not leave either if they still wait.
+#[test]
+fn a_request_that_is_over_takes_back_what_waits_where_nothing_can_be_called_off() {
+    for cancel in [false, true] {
+        let (mut core, mut out, key) = held(cancel);
+        let attempts: Vec<AttemptKey> = calls(&out);
+        assert_eq!(attempts.len(), 1, "{out:?}");
+        out.clear();
+        core.leave(0.2, key, &mut out);
+        let unsent = out.iter().any(|c| matches!(c, Command::Unsend { attempt } if *attempt == attempts[0]));
+        let given_up = out.iter().any(|c| matches!(c, Command::GiveUp { attempt } if *attempt == attempts[0]));
+        assert_eq!((unsent, given_up), (!cancel, cancel), "{out:?}");
+        core.ended(0.3, attempts[0], Outcome::Moot, None, &mut out);
+        out.clear();
+        core.wake(1.0, wharfhub::core::Wake::Attempt(attempts[0]), &mut out);
+        assert!(calls(&out).is_empty(), "nothing is begun for it any more: {out:?}");
+    }
+}
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -14,7 +14,7 @@
 //!   `{id}` in what is awaited keeps what stands there, and `{id}` in what is sent puts it back.
 //! - `WHO raw TEXT`: bytes sent as they are, by a box too. `WHO finds`: waits until something has come, and leaves it unread.
 //! - `WHO takes`: the next connection, in place of the present one. `WHO shut`: half-close. `WHO close`.
-//!   `WHO ends`: the program closes its side. `WHO floods`: sends until the program has had enough. `NAME refuses`: nobody listens there any more.
+//!   `WHO ends`: the program closes its side. `WHO parts`: so it does, and no reset destroys what it said before. `WHO floods`: sends until the program has had enough. `NAME refuses`: nobody listens there any more.
 //! - `NAME tells HEX`, `NAME hears HEX`: a message of a VRRP router. `active`: the program listens for clients.
 //! - `hold`: the script holds the clients' listener, and programs inherit it. `beside`: another program starts beside
 //!   the present one, which is `old` from then on: `old log TEXT`, `old term`, `old exits`, and a name that begins
@@ -212,12 +212,15 @@
 
     fn peer(&mut self, name: &str) -> &mut Peer {
         if !self.peers.contains_key(name) {
-            let program = self.program.as_ref().expect("started");
-            let search = program.search.filter(|_| name.starts_with("os"));
-            let store = program.store.filter(|_| name.starts_with("node"));
+            let program = self.program.as_ref();
+            let search = program.and_then(|program| program.search).filter(|_| name.starts_with("os"));
+            let store = program.and_then(|program| program.store).filter(|_| name.starts_with("node"));
             let old = self.old.as_ref().and_then(|old| old.door).filter(|_| name.starts_with("oop"));
-            let door = program.door.filter(|_| name.starts_with("op")).or(old);
-            let (frames, address) = (store.is_some(), search.or(door).or(store).unwrap_or(program.address));
+            let door = program.and_then(|program| program.door).filter(|_| name.starts_with("op")).or(old);
+            // Where the script holds the listener, clients may come before the program does.
+            let held = || self.held.as_ref().and_then(|held| held.local_addr().ok()).expect("started or held");
+            let front = program.map_or_else(held, |program| program.address);
+            let (frames, address) = (store.is_some(), search.or(door).or(store).unwrap_or(front));
             let stream = TcpStream::connect(address).expect("a connection");
             stream.set_nodelay(true).expect("no delay");
             self.peers.insert(name.into(), Peer { stream: Some(stream), frames, ..Peer::default() });
@@ -322,6 +325,12 @@
         }
     }
 
+    fn parts(&mut self) {
+        let result = self.stream().read_to_end(&mut Vec::new());
+        assert!(matches!(result, Ok(0)), "not closed in order: {result:?}");
+        self.stream = None;
+    }
+
     fn ends(&mut self) {
         let mut rest = Vec::new();
         let result = self.stream().read_to_end(&mut rest);
@@ -461,6 +470,10 @@
             stage.peer(who).stream = None;
             stage.forget(who);
         }
+        [who, "parts"] => {
+            stage.peer(who).parts();
+            stage.forget(who);
+        }
         [who, "ends"] => {
             stage.peer(who).ends();
             stage.forget(who);
