Count what a box said before its reset; read idle clients once more before their end

Found by answer-and-reset.txt: a box answers one keyed part and resets the connection over another that it has not read; where the program finds the reset by writing (call, give_up in replicas.rs), it ended the connection without reading, and the answer that had come was lost (the client waited in vain: no repeat was due). Now what has come is read first. Without the mend the client gets nothing. Read in the code: conn_due closed an idle client without a look at what had come since the poll (a reset over a request that counts as taken); it is read once more, and the end is orderly. A client that floods after its last answer was reset at 256 KiB, which could destroy that answer: what it sends stays unread until its time is over (malformed.txt, floods, still ends). Tests: answer-and-reset.txt, gone-unread.txt (request and end come together, by stopping the program with SIGSTOP: it began them before), idle-crowd.txt (found sound: idle clients take all their room while discovery is down; passes on too). The player's reads take EINTR for no end (door.txt failed once by that while a neighbour stopped its program).

--- a/src/core.rs
+++ b/src/core.rs
@@ -817,7 +817,8 @@
             return;
         }
         let parts = request.parts.iter().filter_map(|id| self.parts.get(id));
-        let attempts: Vec<AttemptKey> = parts.flat_map(|part| part.attempts.iter().flatten().copied()).collect();
+        let attempts: Vec<AttemptKey> =
+            parts.flat_map(|part| part.attempts.iter().flatten().copied()).collect();
         for attempt in attempts {
             if self.uncall(attempt) {
                 self.end_attempt(now, attempt, Outcome::Moot, None);
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -240,6 +240,11 @@
             if !matches!(client.state, ClientState::Reading | ClientState::Lingering) {
                 return;
             }
+            // Guards the loop against a client that never stops sending after its last answer. What it sends stays
+            // unread: an end at once would reset the connection, and could destroy that answer.
+            if client.thrown_away > THROWN_AWAY_MOST {
+                return;
+            }
             if client.state == ClientState::Reading && !client.inbuf.is_empty() {
                 match client.reader.read(&mut client.inbuf, false) {
                     Ok(Some(message)) => {
@@ -264,11 +269,7 @@
                 }
                 Ok(count) => {
                     if client.state == ClientState::Lingering {
-                        // Guards the loop against a client that never stops sending after its last answer.
                         client.thrown_away += count;
-                        if client.thrown_away > THROWN_AWAY_MOST {
-                            return self.drop_conn(key);
-                        }
                     } else {
                         let begins = client.idle();
                         client.inbuf.extend_from_slice(&buffer[..count]);
--- a/src/net/leaf.rs
+++ b/src/net/leaf.rs
@@ -48,7 +48,7 @@
 struct Frame {
     bytes: Vec<u8>,
     parts: Vec<(AttemptKey, usize)>, // and how many of the last bytes are theirs, in order
-    style: Style, // of the request that they belong to
+    style: Style,                    // of the request that they belong to
     begun: bool,
     leave_by: f64,
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -649,6 +649,12 @@
                         Style::Search => opensearch::too_slow(),
                     };
                     self.respond(key, bytes, true);
+                } else if client.state == ClientState::Reading {
+                    // Guards a request that has come and was not read yet: whoever turns out to have sent one stays.
+                    self.read_client(key);
+                    if matches!(self.conns.get(key), Some(Conn::Client(client)) if client.idle()) {
+                        self.linger(key);
+                    }
                 } else {
                     self.drop_conn(key);
                 }
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -72,7 +72,7 @@
         }
         leaf.call(&parts, now);
         if self.flush_leaf(key).is_err() {
-            self.end_leaf(key, "broke");
+            self.leaf_event(key); // what it said before its end counts
         }
     }
 
@@ -81,7 +81,8 @@
         let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return Ok(()) };
         let late = leaf.withdraw_late(self.now);
         let stuck = leaf.stuck_late(self.now);
-        let flushed = if stuck { Err(io::Error::other("a repeat is stuck beyond its window")) } else { leaf.flush() };
+        let flushed =
+            if stuck { Err(io::Error::other("a repeat is stuck beyond its window")) } else { leaf.flush() };
         for (style, count) in STYLES.into_iter().zip(std::mem::take(&mut leaf.written)) {
             self.core.written(style, count);
         }
@@ -225,7 +226,7 @@
             return self.drop_conn(key);
         }
         if self.flush_leaf(key).is_err() {
-            self.end_leaf(key, "broke");
+            self.leaf_event(key); // what it said before its end counts
         }
     }
 
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -197,7 +197,8 @@
         out.clear();
         core.leave(0.2, key, &mut out);
         let unsent = out.iter().any(|c| matches!(c, Command::Unsend { attempt } if *attempt == attempts[0]));
-        let given_up = out.iter().any(|c| matches!(c, Command::GiveUp { attempt } if *attempt == attempts[0]));
+        let given_up =
+            out.iter().any(|c| matches!(c, Command::GiveUp { attempt } if *attempt == attempts[0]));
         assert_eq!((unsent, given_up), (!cancel, cancel), "{out:?}");
         core.ended(0.3, attempts[0], Outcome::Moot, None, &mut out);
         out.clear();
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -20,6 +20,7 @@
 //!   the present one, which is `old` from then on: `old log TEXT`, `old term`, `old exits`, and a name that begins
 //!   with `oop` connects to its door. `ends now`: the newest is killed, and the old one is the present one again.
 //!   `NAME meets`: connects where a successor would; `NAME awaits`: listens where a predecessor would.
+//! - `stop`: the program stands still from here on, and finds all that comes meanwhile at once at `cont`.
 //! - `rewrite`: the configuration's file anew, with what was `set` since. `spoil`: the file is no JSON any more.
 //! - `hup`: SIGHUP. `term`: SIGTERM. `exits`: the program ends with 0.
 //!
@@ -218,7 +219,8 @@
             let old = self.old.as_ref().and_then(|old| old.door).filter(|_| name.starts_with("oop"));
             let door = program.and_then(|program| program.door).filter(|_| name.starts_with("op")).or(old);
             // Where the script holds the listener, clients may come before the program does.
-            let held = || self.held.as_ref().and_then(|held| held.local_addr().ok()).expect("started or held");
+            let held =
+                || self.held.as_ref().and_then(|held| held.local_addr().ok()).expect("started or held");
             let front = program.map_or_else(held, |program| program.address);
             let (frames, address) = (store.is_some(), search.or(door).or(store).unwrap_or(front));
             let stream = TcpStream::connect(address).expect("a connection");
@@ -320,6 +322,8 @@
             }
             match self.stream().read(&mut byte) {
                 Ok(1..) if std::time::Instant::now() < end => self.got.push(byte[0]),
+                // A read with a time-out is interrupted when anything near it is stopped and goes on.
+                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
                 other => panic!("wanted {text}\ngot    {} ({other:?})", String::from_utf8_lossy(&self.got)),
             }
         }
@@ -433,13 +437,15 @@
             let text = if words[0] == "spoil" { "{".into() } else { stage.config() };
             std::fs::write(&stage.program.as_ref().expect("started").path, text).expect("written");
         }
-        ["term" | "hup"] => {
-            let id = stage.program.as_ref().expect("started").child.id();
-            let signal = words[0].to_uppercase();
-            let sent =
-                Command::new("sh").args(["-c", &format!("kill -{signal} {id}")]).status().expect("a shell");
-            assert!(sent.success());
+        ["stop"] => {
+            signal(stage, "STOP");
+            let stat = format!("/proc/{}/stat", stage.program.as_ref().expect("started").child.id());
+            let stopped = || std::fs::read_to_string(&stat).is_ok_and(|stat| stat.contains(") T "));
+            while !stopped() {
+                std::thread::yield_now();
+            }
         }
+        ["term" | "hup" | "cont"] => signal(stage, &words[0].to_uppercase()),
         ["exits"] => {
             let end = std::time::Instant::now() + PATIENCE;
             let child = &mut stage.program.as_mut().expect("started").child;
@@ -486,6 +492,12 @@
     }
 }
 
+fn signal(stage: &Stage, signal: &str) {
+    let id = stage.program.as_ref().expect("started").child.id();
+    let sent = Command::new("sh").args(["-c", &format!("kill -{signal} {id}")]).status().expect("a shell");
+    assert!(sent.success());
+}
+
 #[rstest]
 fn exchange(#[files("tests/exchanges/*.txt")] path: PathBuf) {
     let script = std::fs::read_to_string(&path).expect("the script");
