Refuse settings by key and value; name what is wrong with a list

Cause: miniserde tells no place, and settings.rs checked four things. Change: settings_fault.rs finds the key by trying another value in each place until the text decodes (no second copy of the types); Setup::check holds bounds of every number and the known words. Zeros that meant 'the usual' still do. The log says of an answer of discovery that is no list what is wrong with it.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod net;
 pub mod settings;
 mod settings_error;
+mod settings_fault;
 pub mod store;
 mod times;
 pub mod vrrp;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -72,12 +72,15 @@
         .into_bytes()
 }
 
-/// The list in an answer, as JSON; none where the call failed.
-pub fn answer(message: &Message) -> Option<Value> {
-    if message.start != (Start::Response { status: 200 }) {
-        return None;
+/// What an answer says, as JSON; or why the call failed.
+pub fn answer(message: &Message) -> Result<Value, String> {
+    match message.start {
+        Start::Response { status: 200 } => {}
+        Start::Response { status } => return Err(format!("status {status}")),
+        Start::Request { .. } => return Err("no answer but a request".into()),
     }
-    miniserde::json::from_str(std::str::from_utf8(&message.body).ok()?).ok()
+    let text = std::str::from_utf8(&message.body).map_err(|_| "a list that is not UTF-8")?;
+    miniserde::json::from_str(text).map_err(|_| "a list that is no JSON, or cut off".into())
 }
 
 impl Mixer {
@@ -158,7 +161,7 @@
         }
         let before = self.revision;
         match list {
-            Some(list) if self.take_list(&list) => {
+            Ok(list) if self.take_list(&list) => {
                 self.ask_predecessor();
                 if std::mem::take(&mut self.going_over) {
                     self.log("reload: done, the new discovery has told its list");
@@ -172,7 +175,8 @@
                     self.ask();
                 }
             }
-            _ => self.end_discovery(key, "no list"),
+            Ok(_) => self.end_discovery(key, "an answer without members"),
+            Err(why) => self.end_discovery(key, &why),
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,6 +6,7 @@
 use crate::api::*;
 use crate::choices::phases;
 pub use crate::settings_error::SettingsError;
+use crate::settings_fault;
 use crate::store::Registers;
 use crate::vrrp;
 use crate::yaml;
@@ -277,15 +278,103 @@
     }
 }
 
+/// Reads JSON; an error says which key is at fault.
+fn read<T: Deserialize>(text: &str) -> Result<T, SettingsError> {
+    miniserde::json::from_str(text).map_err(|_| SettingsError::NotJson(settings_fault::of::<T>(text)))
+}
+
+/// Longest time in settings (seconds): beyond a month a key is taken to be in another unit.
+const LONGEST_S: f64 = 30.0 * 86_400.0;
+/// Most of what is counted in settings.
+const COUNT_MOST: f64 = 1e9;
+/// The least descriptors with which a mixer serves.
+const SOCKETS_LEAST: f64 = 32.0;
+
+/// Whether a number stands within its bounds, where it stands at all.
+fn within(key: impl Into<String>, value: Option<f64>, least: f64, most: f64) -> Result<(), SettingsError> {
+    match value {
+        Some(value) if !(least..=most).contains(&value) => {
+            Err(SettingsError::OutOfBounds { key: key.into(), value, least, most })
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Whether something is one of the words that are known.
+fn one_of(key: &str, value: Option<&str>, words: &[&str]) -> Result<(), SettingsError> {
+    match value {
+        Some(word) if !words.contains(&word) => {
+            Err(SettingsError::Senseless(format!("{key}: {word:?} is none of {words:?}")))
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Decodes settings from their JSON text.
 pub fn decode(text: &[u8]) -> Result<Deployment, SettingsError> {
     let text = std::str::from_utf8(text)?;
-    miniserde::json::from_str::<Setup>(text).map_err(|_| SettingsError::NotJson)?.deployment()
+    read::<Setup>(text)?.deployment()
 }
 
 impl Setup {
+    /// Whether each number and word makes sense by itself. Guards against settings that can't be served: a start, or a
+    /// reload, ends with the key and the value.
+    fn check(&self) -> Result<(), SettingsError> {
+        let count = |value: Option<u32>| value.map(f64::from);
+        for (place, class) in self.categories.iter().flatten().enumerate() {
+            let key = |key: &str| format!("categories[{place}].{key}");
+            within(key("aimS"), Some(class.aim_s), 1e-4, LONGEST_S)?;
+            within(key("giveUpS"), Some(class.give_up_s), 1e-4, LONGEST_S)?;
+            within(key("windowS"), class.window_s, 0.0, LONGEST_S)?;
+            within(key("lateWorth"), class.late_worth, 0.0, 1.0)?;
+            within(key("worth"), class.worth, 0.0, COUNT_MOST)?;
+            one_of(&key("effect"), class.effect.as_deref(), &["retryable", "dedup", "fragile"])?;
+        }
+        for (place, tenant) in self.tenants.iter().flatten().enumerate() {
+            within(format!("tenants[{place}].share"), tenant.share, 0.0, COUNT_MOST)?;
+            within(format!("tenants[{place}].allowancePerS"), tenant.allowance_per_s, 0.0, f64::MAX)?;
+        }
+        within("overShareWorth", self.over_share_worth, 0.0, 1.0)?;
+        within("roundS", self.round_s, 0.0, 10.0)?;
+        one_of("discovery", self.discovery.as_deref(), &["automatic", "subscribe"])?;
+        if let Some(family) = &self.family_info {
+            within("familyInfo.cells", count(family.cells), 1.0, 1e6)?;
+            within("familyInfo.slabs", count(family.slabs), 1.0, COUNT_MOST)?;
+            within("familyInfo.perCallWorkS", family.per_call_work_s, 0.0, LONGEST_S)?;
+            let lists = [
+                ("classPartial", &family.class_partial, 0.0),
+                ("completeFrom", &family.complete_from, 1e-6),
+                ("floorByClass", &family.floor_by_class, 0.0),
+            ];
+            for (name, list, least) in lists {
+                for (place, share) in list.iter().flatten().enumerate() {
+                    within(format!("familyInfo.{name}[{place}]"), Some(*share), least, 1.0)?;
+                }
+            }
+        }
+        if let Some(allow) = &self.permissions {
+            within("permissions.connIdleS", allow.conn_idle_s, 0.0, LONGEST_S)?;
+            within("permissions.connectTimeoutS", allow.connect_timeout_s, 0.0, LONGEST_S)?;
+            within("permissions.maxRetryAfterS", allow.max_retry_after_s, 0.0, LONGEST_S)?;
+            within("permissions.mostHeld", count(allow.most_held), 1.0, COUNT_MOST)?;
+        }
+        if let Some(rules) = &self.rules {
+            within("rules.askWithinS", rules.ask_within_s, 1e-3, LONGEST_S)?;
+            within("rules.coldFrom", rules.cold_from, 0.0, 1.0)?;
+            within("rules.coldS", rules.cold_s, 0.0, LONGEST_S)?;
+            within("rules.drainGraceS", rules.drain_grace_s, 0.0, LONGEST_S)?;
+            within("rules.fallMultiple", rules.fall_multiple, 0.0, COUNT_MOST)?;
+            within("rules.overloadForS", rules.overload_for_s, 0.0, LONGEST_S)?;
+            within("rules.extraFloor", rules.extra_floor, 0.0, COUNT_MOST)?;
+            within("rules.furtherRatio", rules.further_ratio, 0.0, COUNT_MOST)?;
+            within("rules.ratioSpanS", rules.ratio_span_s, 1e-3, LONGEST_S)?;
+        }
+        Ok(())
+    }
+
     /// What these settings mean.
     pub fn deployment(self) -> Result<Deployment, SettingsError> {
+        self.check()?;
         let base = Settings::default();
         let categories = self.categories.ok_or(SettingsError::Missing("categories"))?;
         if categories.is_empty() {
@@ -414,18 +503,10 @@
 impl CategoryJson {
     fn policy(&self, family: &FamilyJson, place: usize) -> Result<ClassSettings, SettingsError> {
         let base = ClassSettings::default();
-        let timed = |time: f64| time.is_finite() && time > 0.0;
-        if !timed(self.aim_s) || !timed(self.give_up_s) {
-            return Err(SettingsError::Senseless(format!("class {place} has no time to be answered in")));
-        }
         let effect = match self.effect.as_deref() {
-            None | Some("retryable") => Effect::Safe,
             Some("dedup") => Effect::Keyed,
             Some("fragile") => Effect::Unsafe,
-            Some(other) => {
-                let what = format!("class {place} has an unknown effect {other:?}");
-                return Err(SettingsError::Senseless(what));
-            }
+            _ => Effect::Safe,
         };
         let of = |list: &Option<Vec<f64>>, base: f64| {
             list.as_ref().and_then(|l| l.get(place)).copied().unwrap_or(base)
@@ -527,9 +608,14 @@
         // JSON is what begins like an object of it, and nothing else is; the rest is YAML.
         let yaml = (!text.trim_start().starts_with('{')).then(|| yaml::to_json(text)).transpose()?;
         let text = yaml.as_deref().unwrap_or(text);
-        let json: ConfigJson = miniserde::json::from_str(text).map_err(|_| SettingsError::NotJson)?;
+        let json: ConfigJson = read(text)?;
+        within("drain_s", json.drain_s, 0.0, LONGEST_S)?;
+        if let Some(limits) = &json.limits {
+            within("limits.sockets", limits.sockets, SOCKETS_LEAST, COUNT_MOST)?;
+            within("limits.memory_mb", limits.memory_mb, 1.0, COUNT_MOST)?;
+        }
         let file_discovery = json.discovery.clone();
-        let value: Value = miniserde::json::from_str(text).map_err(|_| SettingsError::NotJson)?;
+        let value: Value = read(text)?;
         Ok(Config { json, file_discovery, shape: Shape::of(&value, "") })
     }
 
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -78,3 +78,40 @@
     assert_eq!(config(), ["stored"]);
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// What can't be served is refused by key and value, whether it is of the wrong kind, out of its bounds, or no word that is
+/// known; and what is cut or no JSON at all is said to be so.
+#[rstest::rstest]
+#[case("\"coldFrom\": 0.2", "\"coldFrom\": 1.5", "rules.coldFrom: 1.5 is not within 0 and 1")]
+#[case("\"coldFrom\": 0.2", "\"coldFrom\": \"cold\"", "settings.rules.coldFrom: \"cold\" is no number")]
+#[case(
+    "\"mostHeld\": 214",
+    "\"mostHeld\": -3",
+    "settings.permissions.mostHeld: -3 is no whole number that fits"
+)]
+#[case("\"mostHeld\": 214", "\"mostHeld\": 0", "permissions.mostHeld: 0 is not within 1 and")]
+#[case("\"cells\": 2", "\"cells\": 0", "familyInfo.cells: 0 is not within 1 and")]
+#[case("\"cells\": 2", "\"cells\": 2.5", "settings.familyInfo.cells: 2.5 is no whole number that fits")]
+#[case(
+    "\"cancelling\": true",
+    "\"cancelling\": 1",
+    "settings.permissions.cancelling: 1 is neither true nor false"
+)]
+#[case(
+    "\"replicasOfMe\"",
+    "\"discovery\": \"guess\", \"replicasOfMe\"",
+    "discovery: \"guess\" is none of [\"automatic\", \"subscribe\"]"
+)]
+#[case("\"dedup\"", "\"once\"", "effect: \"once\" is none of")]
+#[case("{\"sockets\": 1024}", "{\"sockets\": 16}", "limits.sockets: 16 is not within 32 and")]
+#[case("{\"sockets\": 1024}", "{\"sockets\": [1024]}", "limits.sockets: [1024] is no number")]
+#[case("{\"sockets\": 1024}", "1024", "limits: 1024 is no object with its keys")]
+#[case("\"categories\"", "\"classes\"", "categories is missing")]
+#[case("}", "", "not JSON, or cut off")]
+fn what_cannot_be_served_is_named_with_its_value(#[case] old: &str, #[case] new: &str, #[case] named: &str) {
+    let text = include_str!("../../examples/config.json");
+    assert!(text.contains(old), "{old} is not there");
+    let options = Config::decode(text.replacen(old, new, 1).as_bytes()).and_then(Config::options);
+    let error = options.err().expect("it can't be served").to_string();
+    assert!(error.contains(named), "{error}");
+}
--- a/src/settings_error.rs
+++ b/src/settings_error.rs
@@ -17,11 +17,23 @@
     #[error("settings: not YAML: {0}")]
     NotYaml(String),
     /// The text is not JSON of the right form.
-    #[error("settings: not JSON of the expected form (categories and the other keys)")]
-    NotJson,
+    #[error("settings: {0}")]
+    NotJson(String),
     /// A key that is needed is not there.
     #[error("settings: {0} is missing")]
     Missing(&'static str),
+    /// A number is out of its bounds.
+    #[error("settings: {key}: {value} is not within {least} and {most}")]
+    OutOfBounds {
+        /// Which.
+        key: String,
+        /// What stands there.
+        value: f64,
+        /// The least that makes sense.
+        least: f64,
+        /// The most.
+        most: f64,
+    },
     /// A key is not there that was there before.
     #[error("settings: {0} is missing, and was there before")]
     Lost(String),
