Ask the price of a jam only where mixers are many

Cause: logic.rs, admit: the price of a jam held for any number of mixers, where its reason (a mixer meets each server too seldom to price it) holds in a fleet only. Change: the price counts by 1 less our part of the load (alone): nothing up to 4 mixers, 0.99 at 300.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -408,7 +408,7 @@
         let late = if query.aim_at <= self.now { self.cfg.classes[class].late_worth } else { 1.0 };
         let tokens = self.rng.rand_float() * TOKENS * late * query.in_share;
         let (offers, price) = self.offers(query);
-        let jam = self.jam.price(self.now, self.cfg.classes[class].aim_s);
+        let jam = self.jam.price(self.now, self.cfg.classes[class].aim_s) * (1.0 - self.alone());
         // What its tokens do not buy a query that may be answered in part goes without.
         let affordable = |offer: &(PartId, Option<f64>)| offer.1.is_some_and(|price| price <= tokens);
         let chosen: Vec<PartId> = offers.into_iter().filter(affordable).map(|(part, _)| part).collect();
