Begin the periodic tick at the start, so that a daemon without a list asks for one

Ruled out: discovery or its socket (no connection is ever opened; with a `known` list the same script goes on).

Now `Mixer::new` ends with `Core::start`, which gives the module `Event::Start`; behind a known list it changes nothing, since the tick runs already.

--- a/src/api.rs
+++ b/src/api.rs
@@ -318,6 +318,8 @@
     Elsewhere(Elsewhere),
     /// The client of a query has left.
     ClientLeft(QueryId),
+    /// The caller has started, and nothing else may come before its timers: the periodic tick begins.
+    Start,
     /// A timer came due.
     Timer(u64),
     /// A probe ended.
--- a/src/core.rs
+++ b/src/core.rs
@@ -465,6 +465,12 @@
         self.attempts.contains_key(key)
     }
 
+    /// Begins the module's periodic tick. Without this a mixer that asks discovery and has no list yet would wait for an
+    /// event that only its own first call can bring. To be called once, after the last known list where there is one.
+    pub fn start(&mut self, now: f64, out: &mut Vec<Command>) {
+        self.feed(now, Event::Start, out);
+    }
+
     /// The list of replicas, or the lines of it that changed.
     pub fn list(&mut self, now: f64, full: bool, entries: Vec<ReplicaEntry>, out: &mut Vec<Command>) {
         self.feed(now, Event::List { full, entries: entries.into() }, out);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -204,7 +204,7 @@
             Event::Elsewhere(elsewhere) => self.take_elsewhere(&elsewhere),
             Event::ClientLeft(query) => self.end_query(query, out),
             Event::Timer(SWEEP) => self.sweep(out),
-            Event::Timer(_) | Event::Probed { .. } => {}
+            Event::Start | Event::Timer(_) | Event::Probed { .. } => {}
         }
         if self.sweep_due.is_infinite() {
             self.sweep(out);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -311,6 +311,7 @@
         if !mixer.deployment.policy.must_ask {
             mixer.ask();
         }
+        mixer.core.start(mixer.now, &mut mixer.commands);
         mixer.settle();
         Ok(mixer)
     }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -6,7 +6,7 @@
 //! - `leaf NAME CELL [opensearch] [prefilter]`: a stock box that listens, and may announce that it knows phases; `box NAME CELL` one that nobody listens for.
 //! - `discovery`: a discovery that the script plays under that name, `another NAME`: one more. `set KEY JSON`: a key of the configuration,
 //!   in which `@NAME` stands for the address of `peer NAME` (a node of the store) or `udp NAME` (a VRRP router).
-//!   `edit OLD => NEW`: another value in the settings.
+//!   `edit OLD => NEW`: another value in the settings. `unlisted`: the configuration has no list of servers (`known`).
 //! - `start`: the program starts, knowing the boxes so far. `log TEXT`: waits until it has logged that.
 //! - `WHO > TEXT`, `WHO < TEXT`: bytes sent, bytes awaited (all that came since the last match). A box that
 //!   speaks frames names the frame's letter first. A name that is no box is a client and connects, to the
@@ -132,6 +132,7 @@
     old: Option<Program>,
     held: Option<TcpListener>,
     folder: PathBuf, // where programs meet
+    unlisted: bool,  // whether the configuration has no `known` list
     set: BTreeMap<String, String>,
 }
 
@@ -155,8 +156,8 @@
             )
         });
         let members = members.collect::<Vec<_>>().join(",");
-        let mut keys =
-            vec![format!("\"known\":{{\"revision\":1,\"complete\":true,\"members\":[{members}]}}")];
+        let known = format!("\"known\":{{\"revision\":1,\"complete\":true,\"members\":[{members}]}}");
+        let mut keys = if self.unlisted { Vec::new() } else { vec![known] };
         for (key, value) in [("settings", SETTINGS), ("listen", "\"127.0.0.1:0\""), ("seed", "\"1\"")] {
             keys.push(format!("\"{key}\":{}", self.set.get(key).map_or(value, String::as_str)));
         }
@@ -404,6 +405,7 @@
             assert!(settings.contains(old), "nothing to edit");
             *settings = settings.replace(old, new);
         }
+        ["unlisted"] => stage.unlisted = true,
         ["start"] => stage.start(name),
         ["hold"] => stage.held = Some(TcpListener::bind("127.0.0.1:0").expect("a port")),
         ["beside"] => {
@@ -505,7 +507,7 @@
     let folder = std::env::temp_dir().join(format!("wharfhub-{}-{name}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
     let (peers, set) = (BTreeMap::new(), BTreeMap::new());
-    let mut stage = Stage { peers, program: None, old: None, held: None, folder, set };
+    let mut stage = Stage { peers, program: None, old: None, held: None, folder, unlisted: false, set };
     let lines = script.lines().enumerate().filter(|(_, line)| !line.is_empty() && !line.starts_with('#'));
     for (number, line) in lines {
         let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| step(&mut stage, &name, line)));
