Find a silent watch by a heartbeat beside it, in a time that does not grow with the fleet

Change: a watch waits as long as the protocol allows. Beside it, on a second connection, a call that need not wait is made every 4.5 s at a phase of the mixer's own (choices/heartbeat.rs); one not answered within 0.3 s is repeated twice, 0.35 s apart, on fresh connections; a fleet's repeats are rationed. An answer with a newer version makes that connection the watch. Fresh connections begin with such a call, so that a failed one is seen soon. Where discovery refuses such calls or waits all the same, watches are short as before. Answers that look like the one before are not read again. In fleets whose heartbeats leave little of discovery's time the watch is opened anew later, spread over up to 60 s.

The limit on a list follows the memory in the settings (a sixteenth, 4 MiB at least, 64 MiB at most); one over it is named with size and limit, and asked for again after 1, 2, 4 up to 60 s. Reading a whole list is no longer quadratic.

asking.rs is now watch_schedule.rs.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,7 @@
 //! Every decision of an aggregator, by one timer and the events of `src/api.rs`. Read from top to bottom.
 
 use crate::api::*;
-use crate::choices::{asking::Asking, jam::Jam};
+use crate::choices::{jam::Jam, watch_schedule::WatchSchedule};
 use crate::held::*;
 use crate::times::{self, Schedule};
 use std::collections::{BTreeMap, BTreeSet};
@@ -79,8 +79,8 @@
     numbers: BTreeMap<u32, QueryId>,
     parts: BTreeMap<PartId, Part>, // parts of open queries, and ended ones with attempts still out
     pub(crate) past: Past,
-    kept_s: f64,            // how long these times are kept
-    asking: Option<Asking>, // where the list comes only to those who ask
+    kept_s: f64,                  // how long these times are kept
+    watch: Option<WatchSchedule>, // where the list comes only to those who ask
     wary_until: f64,
     idle_loss: f64,                         // running share of parts lost on idle connections
     reap: (f64, f64), // idle time from which parts are lost, and until when that is believed
@@ -116,7 +116,8 @@
                 copies: f64::MAX,
                 ..Past::default()
             },
-            asking: settings.must_ask.then(|| Asking::new(settings.aggregators, settings.ask_within_s, now)),
+            watch: (settings.must_ask)
+                .then(|| WatchSchedule::new(settings.aggregators, settings.ask_within_s, now)),
             wary_until: now,
             idle_loss: 0.0,
             reap: (f64::INFINITY, now),
@@ -191,8 +192,8 @@
         match event {
             Event::List { full, entries } => self.take_list(full, &entries),
             Event::ListFailed => {
-                if let Some(asking) = &mut self.asking {
-                    asking.failed(self.now, self.rng.rand_float());
+                if let Some(watch) = &mut self.watch {
+                    watch.call_failed(self.now, self.rng.rand_float());
                 }
             }
             Event::Query(query) => self.take_query(query, out),
@@ -225,7 +226,7 @@
 
     /// All that depends on time: asking, prices, silence, overdue parts, answers that can wait no longer.
     fn sweep(&mut self, out: &mut Vec<Action>) {
-        if self.asking.as_mut().is_some_and(|asking| asking.due(self.now)) {
+        if self.watch.as_mut().is_some_and(|watch| watch.take_due(self.now)) {
             out.push(Action::Watch);
         }
         self.close_readings();
@@ -279,8 +280,8 @@
                 cell.push(entry.id);
             }
         }
-        if let Some(asking) = &mut self.asking {
-            asking.told(now, self.rng.rand_float());
+        if let Some(watch) = &mut self.watch {
+            watch.list_received(now, self.rng.rand_float());
         }
         self.look_ahead();
     }
--- a/src/members.rs
+++ b/src/members.rs
@@ -7,7 +7,7 @@
 use crate::api::{Lifecycle, ReplicaEntry, ReplicaId};
 use miniserde::json::{self, Number, Object, Value};
 use miniserde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// The zone of a replica whose zone the settings do not name.
@@ -198,12 +198,12 @@
         let Value::Object(list) = list else { return None };
         let Some(Value::Array(lines)) = list.get("members") else { return None };
         let full = !matches!(list.get("complete"), Some(Value::Bool(false)));
-        let mut named = Vec::new();
+        let mut named = BTreeSet::new();
         let mut entries = Vec::new();
         for line in lines.iter() {
             let Value::Object(line) = line else { continue };
             let Some(entry) = self.line(line) else { continue };
-            named.push(entry.id);
+            named.insert(entry.id);
             entries.push(entry);
         }
         if full {
--- a/src/net/agenda.rs
+++ b/src/net/agenda.rs
@@ -16,6 +16,7 @@
     Door,
     Handover,
     Ask,
+    Heartbeat,
     Phase,
     Settings,
     Listen,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,57 +1,170 @@
-//! Discovery: the list of replicas, and the watch on its changes.
+//! Discovery: the list of replicas, the watch on its changes, and the heartbeat that checks the watch.
 //!
-//! This file owns the calls to discovery and what becomes of their answers; what a list says is `members.rs`'s. It
-//! must never judge a replica, and never ask a discovery that did not wait again at once.
+//! This file owns the calls to discovery and what becomes of their answers; what a list says is `members.rs`'s, and
+//! when calls are made is `choices/watch_schedule.rs`'s and `choices/heartbeat.rs`'s. It must never judge a replica, and
+//! never ask a discovery that did not wait again at once.
+//!
+//! There are two connections. A fresh one begins with a call that discovery answers at once; then the watch waits on it
+//! for news. The heartbeat's calls go over the other one. Where a heartbeat brings what the watch has not told, its
+//! connection becomes the watch and the old one is closed.
 
-use super::http::{Message, Reader, Start};
+use super::http::{HttpError, Message, Reader, Start};
 use super::{came_up, Conn, ConnKey, Due, Mixer, Phase};
-use crate::api::{Outcome, ReplicaEntry};
-use crate::choices::asking;
+use crate::api::{Outcome, ReplicaEntry, Settings};
+use crate::choices::backoff::Backoff;
+use crate::choices::heartbeat::{Fleet, Heartbeat};
+use crate::choices::watch_schedule;
+use crate::members;
 use miniserde::json::Value;
 use mio::net::TcpStream;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, Read, Write};
 
 /// A connection to it has to come up within this time (seconds).
 const UP_WITHIN_S: f64 = 1.0;
-/// A call that does not wait for news has to be answered within this time (seconds).
-pub const WHOLE_WITHIN_S: f64 = 2.5;
+/// The whole list has to be answered within this time (seconds).
+const WHOLE_LIST_TIMEOUT_S: f64 = 2.5;
+/// Each so many failed calls for changes in a row the whole list is asked for: one who refuses the other form, or waits
+/// all the same, answers this one.
+const WHOLE_LIST_EVERY: u32 = 8;
 /// Where nobody else asks again, a failed call to discovery is repeated after this time (seconds).
 const ASK_AGAIN_S: f64 = 0.5;
 /// An answer of discovery that brings nothing new within this time did not wait; the next call does (seconds).
 const SOON_S: f64 = 0.1;
-/// Longest list that is read.
-const LIST_MOST: usize = 1024 * 1024;
+/// Deadlines are kept in steps: one that is so near has come (seconds).
+const TIMER_STEP_S: f64 = 1e-4;
+/// Longest list that is read: this share of the memory in the settings, for its text is held beside what is read from it;
+/// at least enough for 10,000 replicas with indented lines of 220 bytes, twice as many fit, and at most so much.
+const MEMORY_SHARE: usize = 16;
+const MIN_LIST_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+const MAX_LIST_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
+/// What a connection to discovery is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It carries the watch.
+    Watch,
+    /// It carries the heartbeat.
+    Heartbeat,
+}
+
+/// A call to discovery.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Call {
+    /// The whole list, answered at once.
+    WholeList,
+    /// What has changed since that version, answered at once.
+    Changes {
+        /// The version.
+        since: u64,
+    },
+    /// The same, answered as soon as there is something or after that wait.
+    Watch {
+        /// The version.
+        since: u64,
+        /// How long to wait (seconds).
+        wait_s: f64,
+    },
+}
 
-/// A connection to discovery with a call on it.
+impl Call {
+    /// Its text.
+    pub fn text(self, host: &str) -> Vec<u8> {
+        let query = match self {
+            Call::WholeList => String::new(),
+            Call::Changes { since } => format!("?index={since}&wait=0"),
+            Call::Watch { since, wait_s } => format!("?index={since}&wait={}", (wait_s * 1000.0) as u64),
+        };
+        format!("GET /api/targets{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n")
+            .into_bytes()
+    }
+
+    /// The version from which it asks.
+    fn since(self) -> Option<u64> {
+        match self {
+            Call::WholeList => None,
+            Call::Changes { since } | Call::Watch { since, .. } => Some(since),
+        }
+    }
+
+    fn waits(self) -> bool {
+        matches!(self, Call::Watch { .. })
+    }
+}
+
+/// A call that is out on a connection.
+#[derive(Clone, Copy, Debug)]
+struct OpenCall {
+    call: Call,
+    made_at: f64,
+    timeout_s: f64,
+}
+
+/// A connection to discovery.
 pub struct DiscoveryConn {
     /// Its socket.
     pub stream: TcpStream,
-    /// What is still to be written.
-    pub out: Vec<u8>,
-    /// What has come and not been read.
-    pub inbuf: Vec<u8>,
-    /// Reads it.
-    pub reader: Reader,
-    /// Whether it has come up.
-    pub up: bool,
-    /// When the call was made.
-    pub asked_at: f64,
-    /// How long the call may take (seconds).
-    pub within_s: f64,
-    /// When its answer is overdue, or the connection has to be up.
+    /// When its call is overdue, or the connection has to be up.
     pub due: f64,
+    role: Role,
+    out: Vec<u8>,
+    inbuf: Vec<u8>,
+    reader: Reader,
+    up: bool,
+    open_call: Option<OpenCall>,
+}
+
+/// What comes of reading a connection.
+enum Received {
+    Nothing,
+    Answer(Message),
+    Failed(DiscoveryError),
+}
+
+/// Why a call to discovery failed.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum DiscoveryError {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Http(HttpError),
+    #[error("the list has {bytes} bytes or more, {limit} are read (a share of limits.memory_mb)")]
+    ListTooLarge { bytes: usize, limit: usize },
+    #[error("closed")]
+    Closed,
+    #[error("no answer in time")]
+    TimedOut,
+    #[error("status {0}")]
+    Status(u16),
+    #[error("no answer but a request")]
+    NoAnswer,
+    #[error("a list that is not UTF-8")]
+    NotUtf8,
+    #[error("a list that is no JSON, or cut off")]
+    NotJson,
+    #[error("an answer without members")]
+    NoMembers,
+}
+
+impl From<HttpError> for DiscoveryError {
+    fn from(error: HttpError) -> DiscoveryError {
+        match error {
+            HttpError::BodyTooLarge { bytes, limit } => DiscoveryError::ListTooLarge { bytes, limit },
+            other => DiscoveryError::Http(other),
+        }
+    }
 }
 
 impl DiscoveryConn {
     /// A connection that is on its way.
-    pub fn new(stream: TcpStream) -> DiscoveryConn {
-        let reader = Reader::responses(LIST_MOST);
+    fn new(stream: TcpStream, role: Role, list_limit: usize) -> DiscoveryConn {
+        let reader = Reader::responses(list_limit);
         let (out, inbuf) = (Vec::new(), Vec::new());
-        DiscoveryConn { stream, out, inbuf, reader, up: false, asked_at: 0.0, within_s: 0.0, due: f64::MAX }
+        DiscoveryConn { stream, due: f64::MAX, role, out, inbuf, reader, up: false, open_call: None }
     }
 
     /// Writes what the socket takes, once it has come up.
-    pub fn flush(&mut self) -> io::Result<()> {
+    fn flush(&mut self) -> io::Result<()> {
         while self.up && !self.out.is_empty() {
             match self.stream.write(&self.out) {
                 Ok(count) => drop(self.out.drain(..count)),
@@ -62,131 +175,391 @@
         }
         Ok(())
     }
+
+    /// Heeds that the connection has come up, and sends what waits for that. Says whether it is up.
+    fn come_up(&mut self) -> io::Result<bool> {
+        if !self.up {
+            self.up = came_up(&self.stream)?;
+            if !self.up {
+                return Ok(false);
+            }
+            let _ = self.stream.set_nodelay(true);
+            if let Some(open) = self.open_call {
+                self.due = open.made_at + open.timeout_s;
+            }
+        }
+        self.flush()?;
+        Ok(true)
+    }
+
+    /// Reads up to the end of an answer, or of what has come.
+    fn receive(&mut self) -> Received {
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            let count = match self.stream.read(&mut buffer) {
+                Ok(count) => count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Received::Nothing,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => return Received::Failed(error.into()),
+            };
+            self.inbuf.extend_from_slice(&buffer[..count]);
+            match self.reader.read(&mut self.inbuf, count == 0) {
+                Ok(Some(message)) => return Received::Answer(message),
+                Ok(None) if count == 0 => return Received::Failed(DiscoveryError::Closed),
+                Ok(None) => {}
+                Err(error) => return Received::Failed(error.into()),
+            }
+        }
+    }
+}
+
+/// The connections to discovery, and what is known of how it answers.
+pub(super) struct DiscoveryLink {
+    watch: Option<ConnKey>,
+    heartbeat_conn: Option<ConnKey>,
+    heartbeat: Heartbeat,
+    list_limit: usize,
+    /// Whether a watch has worked since the link was made.
+    worked: bool,
+    /// When the watch is opened anew, where only heartbeats are made until then.
+    reopen_at: Option<f64>,
+    /// Calls in a row that failed before a watch was open.
+    failed_opens: u32,
+    /// Whether discovery has refused a call for changes as such.
+    refuses_changes: bool,
+    oversize: Backoff,
+    /// What the answer that was taken last looked like, by hash.
+    last_answer: Option<u64>,
 }
 
-/// The text of the next call: a watch from that version on that waits for so long, or the whole list.
-pub fn call(host: &str, revision: Option<u64>, wait_s: f64) -> Vec<u8> {
-    let wait = (wait_s * 1000.0) as u64;
-    let query = revision.map_or(String::new(), |revision| format!("?index={revision}&wait={wait}"));
-    format!("GET /api/targets{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n")
-        .into_bytes()
+impl DiscoveryLink {
+    pub(super) fn new(fleet: Fleet, memory: usize, now: f64, jitter: f64) -> DiscoveryLink {
+        DiscoveryLink {
+            watch: None,
+            heartbeat_conn: None,
+            heartbeat: Heartbeat::new(fleet, now, jitter),
+            list_limit: (memory / MEMORY_SHARE).clamp(MIN_LIST_LIMIT_BYTES, MAX_LIST_LIMIT_BYTES),
+            worked: false,
+            reopen_at: None,
+            failed_opens: 0,
+            refuses_changes: false,
+            oversize: Backoff::default(),
+            last_answer: None,
+        }
+    }
+
+    /// A connection is gone.
+    pub(super) fn forget(&mut self, key: ConnKey) {
+        for slot in [&mut self.watch, &mut self.heartbeat_conn] {
+            if *slot == Some(key) {
+                *slot = None;
+            }
+        }
+    }
+
+    /// The connections that there are.
+    fn connections(&self) -> impl Iterator<Item = ConnKey> {
+        self.watch.into_iter().chain(self.heartbeat_conn)
+    }
+
+    fn is_whole_list_wanted(&self) -> bool {
+        self.refuses_changes || self.failed_opens % WHOLE_LIST_EVERY == WHOLE_LIST_EVERY - 1
+    }
+
+    /// How long a call may take that opens a watch (seconds).
+    fn open_timeout_s(&self, call: Call) -> f64 {
+        match call {
+            Call::WholeList => WHOLE_LIST_TIMEOUT_S,
+            _ => watch_schedule::open_timeout_s(self.worked, self.failed_opens),
+        }
+    }
 }
 
-/// What an answer says, as JSON; or why the call failed.
-pub fn answer(message: &Message) -> Result<Value, String> {
+/// What an answer says, as JSON.
+fn decode(message: &Message) -> Result<Value, DiscoveryError> {
     match message.start {
         Start::Response { status: 200 } => {}
-        Start::Response { status } => return Err(format!("status {status}")),
-        Start::Request { .. } => return Err("no answer but a request".into()),
+        Start::Response { status } => return Err(DiscoveryError::Status(status)),
+        Start::Request { .. } => return Err(DiscoveryError::NoAnswer),
     }
-    let text = std::str::from_utf8(&message.body).map_err(|_| "a list that is not UTF-8")?;
-    miniserde::json::from_str(text).map_err(|_| "a list that is no JSON, or cut off".into())
+    let text = std::str::from_utf8(&message.body).map_err(|_| DiscoveryError::NotUtf8)?;
+    miniserde::json::from_str(text).map_err(|_| DiscoveryError::NotJson)
+}
+
+/// Who asks discovery by these settings.
+pub(super) fn fleet_of(policy: &Settings) -> Fleet {
+    Fleet { mixers: policy.aggregators, pushed: !policy.must_ask }
+}
+
+fn hash_of(body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    body.hash(&mut hasher);
+    hasher.finish()
 }
 
 impl Mixer {
-    /// Sends the next call, unless one is out.
+    /// Opens the watch, or goes on with it, unless a call of it is out.
     pub(super) fn ask(&mut self) {
-        let Some(address) = self.discovery else { return };
-        let key = match self.asking {
-            Some(key) => key,
-            None => {
-                match TcpStream::connect(address).or_else(|error| self.without_a_client(address, error)) {
-                    Ok(stream) => {
-                        let key = self.conns.insert(Conn::Discovery(Box::new(DiscoveryConn::new(stream))));
-                        self.asking = Some(key);
-                        self.register(key);
-                        key
-                    }
-                    Err(error) => return self.list_failed(&error.to_string()),
-                }
+        if let Some(until) = self.link.oversize.blocked_until(self.now) {
+            return self.agenda.add(until, Due::Ask);
+        }
+        if self.link.reopen_at.is_some_and(|at| self.now + TIMER_STEP_S < at) {
+            return;
+        }
+        if let Some(key) = self.link.watch {
+            let idle = matches!(self.conns.get(key), Some(Conn::Discovery(conn)) if conn.open_call.is_none());
+            if idle {
+                self.continue_watch(key);
             }
-        };
-        let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) else { return };
-        if conn.due < f64::MAX {
             return;
         }
-        let policy = &self.deployment.policy;
-        let wait_s = asking::watch_s(policy.aggregators, !policy.must_ask, self.rng.rand_float());
-        conn.out = call(&address.to_string(), self.revision, wait_s);
-        conn.within_s = if self.revision.is_some() { wait_s + asking::LATER_S } else { WHOLE_WITHIN_S };
-        conn.asked_at = self.now;
+        let Some(key) = self.open_discovery(Role::Watch) else { return };
+        if self.link.reopen_at.take().is_some() {
+            return self.continue_watch(key); // heartbeats have gone on: no other call is needed first
+        }
+        let call = match self.revision {
+            Some(since) if !self.link.is_whole_list_wanted() => Call::Changes { since },
+            _ => Call::WholeList,
+        };
+        self.make_call(key, call, self.link.open_timeout_s(call));
+    }
+
+    /// The next call on a connection that has answered one.
+    fn continue_watch(&mut self, key: ConnKey) {
+        let Some(since) = self.revision else {
+            return self.make_call(key, Call::WholeList, WHOLE_LIST_TIMEOUT_S);
+        };
+        self.link.heartbeat.set_mixers(self.deployment.policy.aggregators);
+        let times = self.link.heartbeat.watch_times(self.rng.rand_float());
+        self.make_call(key, Call::Watch { since, wait_s: times.wait_s }, times.timeout_s);
+        let next_at = self.link.heartbeat.start(self.now);
+        self.agenda.add(next_at, Due::Heartbeat);
+    }
+
+    /// A new connection to discovery.
+    fn open_discovery(&mut self, role: Role) -> Option<ConnKey> {
+        let address = self.discovery?;
+        match TcpStream::connect(address).or_else(|error| self.without_a_client(address, error)) {
+            Ok(stream) => {
+                let conn = DiscoveryConn::new(stream, role, self.link.list_limit);
+                let key = self.conns.insert(Conn::Discovery(Box::new(conn)));
+                match role {
+                    Role::Watch => self.link.watch = Some(key),
+                    Role::Heartbeat => self.link.heartbeat_conn = Some(key),
+                }
+                self.register(key);
+                Some(key)
+            }
+            Err(error) => {
+                self.call_failed(role, &error.into());
+                None
+            }
+        }
+    }
+
+    fn make_call(&mut self, key: ConnKey, call: Call, timeout_s: f64) {
+        let Some(address) = self.discovery else { return };
+        let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) else { return };
+        conn.out = call.text(&address.to_string());
+        conn.open_call = Some(OpenCall { call, made_at: self.now, timeout_s });
         // Guards against a machine that is not there: a watch's patience is for one that is.
-        conn.due = self.now + if conn.up { conn.within_s } else { UP_WITHIN_S };
+        conn.due = self.now + if conn.up { timeout_s } else { timeout_s.min(UP_WITHIN_S) };
         self.agenda.add(conn.due, Due::Conn(key));
         if let Err(error) = conn.flush() {
-            self.end_discovery(key, &error.to_string());
+            self.end_discovery(key, &error.into());
+        }
+    }
+
+    /// The heartbeat's time has come. Only an open watch is checked: one that is being opened says by itself that it works.
+    pub(super) fn heartbeat_due(&mut self) {
+        if !self.link.heartbeat.take_due(self.now + TIMER_STEP_S) {
+            return;
+        }
+        let since = self.revision.filter(|_| self.is_watch_open() || self.link.reopen_at.is_some());
+        let Some(since) = since else { return self.link.heartbeat.stop() };
+        if let Some(until) = self.link.oversize.blocked_until(self.now) {
+            let next_at = self.link.heartbeat.start(until);
+            return self.agenda.add(next_at, Due::Heartbeat);
         }
+        let Some(key) = self.link.heartbeat_conn.or_else(|| self.open_discovery(Role::Heartbeat)) else {
+            return;
+        };
+        self.make_call(key, Call::Changes { since }, self.link.heartbeat.patience_s());
+    }
+
+    fn is_watch_open(&self) -> bool {
+        let conn = self.link.watch.and_then(|key| self.conns.get(key));
+        let call = conn.and_then(|conn| match conn {
+            Conn::Discovery(conn) => conn.open_call,
+            _ => None,
+        });
+        call.is_some_and(|open| open.call.waits())
     }
 
     pub(super) fn discovery_event(&mut self, key: ConnKey) {
         let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) else { return };
-        if !conn.up {
-            match came_up(&conn.stream) {
-                Ok(false) => return,
-                Ok(true) => {
-                    conn.up = true;
-                    let _ = conn.stream.set_nodelay(true);
-                    if conn.due < f64::MAX {
-                        conn.due = conn.asked_at + conn.within_s;
-                        self.agenda.add(conn.due, Due::Conn(key));
-                    }
-                }
-                Err(error) => return self.end_discovery(key, &error.to_string()),
-            }
+        let was_up = conn.up;
+        match conn.come_up() {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(error) => return self.end_discovery(key, &error.into()),
         }
-        if let Err(error) = conn.flush() {
-            return self.end_discovery(key, &error.to_string());
+        if !was_up && conn.due < f64::MAX {
+            self.agenda.add(conn.due, Due::Conn(key));
         }
-        let mut buffer = [0; 16 * 1024];
-        let message = loop {
-            let (count, ended) = match conn.stream.read(&mut buffer) {
-                Ok(count) => (count, count == 0),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                Err(error) => return self.end_discovery(key, &error.to_string()),
-            };
-            conn.inbuf.extend_from_slice(&buffer[..count]);
-            match conn.reader.read(&mut conn.inbuf, ended) {
-                Ok(Some(message)) => break message,
-                Ok(None) if ended => return self.end_discovery(key, "closed"),
-                Ok(None) => {}
-                Err(error) => return self.end_discovery(key, &error.to_string()),
-            }
+        match conn.receive() {
+            Received::Nothing => {}
+            Received::Failed(error) => self.end_discovery(key, &error),
+            Received::Answer(message) => self.discovery_answered(key, &message),
+        }
+    }
+
+    fn discovery_answered(&mut self, key: ConnKey, message: &Message) {
+        let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) else { return };
+        let (role, open_call) = (conn.role, conn.open_call);
+        let Some(open) = open_call else {
+            return self.end_discovery(key, &DiscoveryError::NoAnswer);
+        };
+        let news = match self.read_answer(open.call, message) {
+            Ok(news) => news,
+            Err(error) => return self.end_discovery(key, &error),
         };
-        let list = answer(&message);
-        let at_once = self.now < conn.asked_at + SOON_S;
-        conn.due = f64::MAX;
-        if !message.keep_alive {
+        self.link.oversize.succeeded();
+        if message.keep_alive {
+            self.rest(key);
+        } else {
             self.drop_conn(key);
         }
-        let before = self.revision;
-        match list {
-            Ok(list) if self.take_list(&list) => {
-                self.ask_predecessor();
-                if std::mem::take(&mut self.going_over) {
-                    self.log("reload: done, the new discovery has told its list");
-                }
-                // Guards discovery against calls without end, where it does not wait or tells no version. The
-                // watch goes on all the same: the next call is due within 200 ms.
-                if at_once && self.revision == before {
-                    let pause = if self.revision.is_none() { ASK_AGAIN_S } else { SOON_S };
-                    self.agenda.add(self.now + pause, Due::Ask);
-                } else {
-                    self.ask();
-                }
+        match role {
+            Role::Watch => self.watch_answered(key, open, news),
+            Role::Heartbeat => self.heartbeat_answered(key, news),
+        }
+    }
+
+    /// Nothing is out on a connection any more.
+    fn rest(&mut self, key: ConnKey) {
+        if let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) {
+            (conn.open_call, conn.due) = (None, f64::MAX);
+        }
+    }
+
+    /// Takes what an answer brings; says whether that was a version that we did not have. An answer that looks like the
+    /// one before brings nothing, and is not read again: some answer whole lists to all calls.
+    fn read_answer(&mut self, call: Call, message: &Message) -> Result<bool, DiscoveryError> {
+        let hash = hash_of(&message.body);
+        let is_ok = message.start == (Start::Response { status: 200 });
+        if is_ok && self.revision.is_some() && self.link.last_answer == Some(hash) {
+            return Ok(false);
+        }
+        let list = decode(message)?;
+        let (before, told) = (self.revision, members::revision(&list));
+        // Two connections are read in no order: what was asked from an older version may be older than what we have.
+        let is_stale = call.since() != before && before.is_some() && told <= before;
+        let has_news = told.is_some() && told != before;
+        if !is_stale && (has_news || call.waits() || call == Call::WholeList || told.is_none()) {
+            if !self.take_list(&list) {
+                return Err(DiscoveryError::NoMembers);
             }
-            Ok(_) => self.end_discovery(key, "an answer without members"),
-            Err(why) => self.end_discovery(key, &why),
+            self.link.last_answer = Some(hash);
+        }
+        Ok(has_news && !is_stale)
+    }
+
+    fn watch_answered(&mut self, key: ConnKey, open: OpenCall, news: bool) {
+        self.link.worked = true;
+        if std::mem::take(&mut self.link.failed_opens) > 0 {
+            self.take_entries(false, Vec::new()); // the module counts failures up to the next list
+        }
+        if !open.call.waits() {
+            let next_at = self.link.heartbeat.answered(self.now);
+            self.agenda.add(next_at, Due::Heartbeat);
+        }
+        self.ask_predecessor();
+        if std::mem::take(&mut self.going_over) {
+            self.log("reload: done, the new discovery has told its list");
+        }
+        // Guards discovery against calls without end, where it does not wait or tells no version. The
+        // watch goes on all the same: the next call is due within 200 ms.
+        let did_not_wait = open.call.waits() && self.now < open.made_at + SOON_S && !news;
+        if self.revision.is_none() {
+            self.agenda.add(self.now + ASK_AGAIN_S, Due::Ask);
+        } else if did_not_wait {
+            self.agenda.add(self.now + SOON_S, Due::Ask);
+        } else if self.link.watch == Some(key) {
+            self.continue_watch(key);
+        } else {
+            self.ask();
+        }
+    }
+
+    /// What a heartbeat brings, or finds with no watch open, makes its connection the watch.
+    fn heartbeat_answered(&mut self, key: ConnKey, news: bool) {
+        let next_at = self.link.heartbeat.answered(self.now);
+        self.agenda.add(next_at, Due::Heartbeat);
+        let is_watched = self.is_watch_open();
+        if self.link.reopen_at.is_some() || (is_watched && !news) {
+            return;
+        }
+        if is_watched {
+            self.log("discovery: the heartbeat brought what the watch had not told; it is opened anew");
+        }
+        if let Some(silent) = self.link.watch {
+            self.drop_conn(silent);
+        }
+        let delay_s = self.link.heartbeat.reopen_delay_s(self.rng.rand_float());
+        if delay_s > 0.0 {
+            self.link.reopen_at = Some(self.now + delay_s);
+            return self.agenda.add(self.now + delay_s, Due::Ask);
+        }
+        if let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) {
+            conn.role = Role::Watch;
+            (self.link.watch, self.link.heartbeat_conn) = (Some(key), None);
+        }
+        self.ask();
+    }
+
+    /// Closes both connections, and forgets how discovery answered: the next one is another.
+    pub(super) fn leave_discovery(&mut self) {
+        for key in self.link.connections().collect::<Vec<_>>() {
+            self.drop_conn(key);
         }
+        let memory_limit = self.link.list_limit;
+        let (fleet, jitter) = (fleet_of(&self.deployment.policy), self.rng.rand_float());
+        self.link = DiscoveryLink::new(fleet, memory_limit * MEMORY_SHARE, self.now, jitter);
     }
 
-    pub(super) fn end_discovery(&mut self, key: ConnKey, why: &str) {
+    pub(super) fn discovery_timed_out(&mut self, key: ConnKey) {
+        self.end_discovery(key, &DiscoveryError::TimedOut);
+    }
+
+    /// A connection is of no use any more. One that rested is no call that failed.
+    fn end_discovery(&mut self, key: ConnKey, why: &DiscoveryError) {
+        let Some(Conn::Discovery(conn)) = self.conns.get(key) else { return };
+        let (role, rested) = (conn.role, conn.open_call.is_none());
         self.drop_conn(key);
-        self.list_failed(why);
+        if role == Role::Watch || !rested {
+            self.call_failed(role, why);
+        }
+    }
+
+    fn call_failed(&mut self, role: Role, why: &DiscoveryError) {
+        let mut line = format!("discovery: call failed ({why})");
+        if matches!(why, DiscoveryError::ListTooLarge { .. }) {
+            line += &format!("; not asked again for {} s", self.link.oversize.failed(self.now));
+        }
+        self.log(&line);
+        self.link.refuses_changes |= matches!(why, DiscoveryError::Status(400..=499));
+        match role {
+            Role::Watch => self.watch_failed(),
+            Role::Heartbeat => {
+                let next_at = self.link.heartbeat.failed(self.now);
+                self.agenda.add(next_at, Due::Heartbeat);
+            }
+        }
     }
 
-    pub(super) fn list_failed(&mut self, why: &str) {
-        self.log(&format!("discovery: call failed ({why})"));
+    fn watch_failed(&mut self) {
+        self.link.failed_opens = self.link.failed_opens.saturating_add(1);
         self.core.list_failed(self.now, &mut self.commands);
         if !self.deployment.policy.must_ask {
             self.agenda.add(self.now + ASK_AGAIN_S, Due::Ask);
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -22,8 +22,13 @@
     #[error("unclear length of body")]
     UnclearLength,
     /// Its body is longer than allowed.
-    #[error("body too large")]
-    BodyTooLarge,
+    #[error("body too large ({bytes} bytes or more, {limit} are read)")]
+    BodyTooLarge {
+        /// How much of it there is at least.
+        bytes: usize,
+        /// How much of it is read.
+        limit: usize,
+    },
     /// Its headers are.
     #[error("headers too large")]
     HeadTooLarge,
@@ -36,7 +41,7 @@
     /// The status with which such a request is answered.
     pub fn status(self) -> u16 {
         match self {
-            HttpError::BodyTooLarge => 413,
+            HttpError::BodyTooLarge { .. } => 413,
             HttpError::HeadTooLarge => 431,
             _ => 400,
         }
@@ -143,7 +148,7 @@
             Body::ToTheEnd => {
                 message.body.append(buffer);
                 if message.body.len() > self.body_most {
-                    return Err(HttpError::BodyTooLarge);
+                    return Err(too_large(message.body.len(), self.body_most));
                 }
                 ended
             }
@@ -217,9 +222,9 @@
                 if !digits || lengths.next().is_some() {
                     return Err(HttpError::UnclearLength);
                 }
-                let length = length.parse::<usize>().map_err(|_| HttpError::BodyTooLarge)?;
+                let length = length.parse::<usize>().unwrap_or(usize::MAX);
                 if length > self.body_most {
-                    return Err(HttpError::BodyTooLarge);
+                    return Err(too_large(length, self.body_most));
                 }
                 Ok(Body::Length(if bodiless { 0 } else { length }))
             }
@@ -229,6 +234,10 @@
     }
 }
 
+fn too_large(bytes: usize, limit: usize) -> HttpError {
+    HttpError::BodyTooLarge { bytes, limit }
+}
+
 /// Moves what is there of a chunked body; `left` is what the present chunk still lacks, its line end included.
 fn read_chunks(
     buffer: &mut Vec<u8>,
@@ -270,9 +279,9 @@
         } else {
             match httparse::parse_chunk_size(rest) {
                 Ok(httparse::Status::Complete((line, size))) => {
-                    let size = usize::try_from(size).map_err(|_| HttpError::BodyTooLarge)?;
+                    let size = usize::try_from(size).unwrap_or(usize::MAX);
                     if size > most.saturating_sub(body.len()) {
-                        return Err(HttpError::BodyTooLarge);
+                        return Err(too_large(body.len().saturating_add(size), most));
                     }
                     at += line;
                     (*last, *left) = (size == 0, if size == 0 { 0 } else { size + 2 });
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -24,7 +24,7 @@
 use crate::settings::{Config, Deployment, Options, Shape};
 use agenda::{Agenda, Due};
 use clients::{Client, ClientState};
-use discovery::DiscoveryConn;
+use discovery::{DiscoveryConn, DiscoveryLink};
 use leaf::LeafConn;
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Token};
@@ -180,7 +180,7 @@
     file_discovery: Option<SocketAddr>,
     shape: Shape,
     coming: Option<Rc<Deployment>>, // settings that were accepted and are taken up soon
-    asking: Option<ConnKey>,
+    link: DiscoveryLink,
     rng: oorandom::Rand64, // for lots that keep a fleet out of step
     revision: Option<u64>,
     /// Whether it goes over to another discovery: the old list holds until the new one has told its own.
@@ -242,6 +242,9 @@
         let other = OTHER_DESCRIPTORS + if inherited.is_some() { handover::DESCRIPTORS } else { 0 };
         let usable = options.sockets.saturating_sub(other).max(8);
         let leaves_most = connections::shares(usable, usize::MAX).1;
+        let mut rng = oorandom::Rand64::new(u128::from(options.seed) + 1);
+        let fleet = discovery::fleet_of(&deployment.policy);
+        let link = DiscoveryLink::new(fleet, options.memory, now, rng.rand_float());
         let mut mixer = Mixer {
             poll,
             name: options.name,
@@ -261,8 +264,8 @@
             file_discovery: options.file_discovery,
             shape: options.shape,
             coming: None,
-            asking: None,
-            rng: oorandom::Rand64::new(u128::from(options.seed) + 1),
+            link,
+            rng,
             revision: None,
             going_over: false,
             phase: Phase::Starting,
@@ -429,6 +432,7 @@
             Due::Door => self.door_accept(),
             Due::Accept => STYLES.into_iter().for_each(|style| self.accept(style)),
             Due::Ask => self.ask(),
+            Due::Heartbeat => self.heartbeat_due(),
             Due::Settings => self.take_settings(),
             Due::Listen => self.open_listeners(),
             Due::Vrrp => self.vrrp_take(crate::vrrp::Event::Timer),
@@ -559,9 +563,7 @@
     fn go_over(&mut self, address: SocketAddr) {
         self.log(&format!("reload: going over to discovery {address}"));
         (self.discovery, self.file_discovery, self.revision) = (Some(address), Some(address), None);
-        if let Some(key) = self.asking {
-            self.drop_conn(key);
-        }
+        self.leave_discovery();
         self.going_over = true;
         self.ask();
     }
@@ -679,7 +681,7 @@
                 }
             }
             Some(Conn::Discovery(conn)) if self.now + 1e-4 >= conn.due => {
-                self.end_discovery(key, "no answer in time");
+                self.discovery_timed_out(key);
             }
             Some(Conn::Caller(_)) => self.caller_due(key),
             Some(Conn::Discovery(_) | Conn::Peer(_)) | None => {}
@@ -696,7 +698,7 @@
                     member.conns.retain(|other| *other != key);
                 }
             }
-            Some(Conn::Discovery(_)) => self.asking = None,
+            Some(Conn::Discovery(_)) => self.link.forget(key),
             Some(Conn::Peer(_) | Conn::Caller(_)) | None => {}
         }
     }
--- /dev/null
+++ b/tests/discovery_silence.rs
@@ -0,0 +1,281 @@
+//! The program on real connections with a discovery that falls silent, refuses calls, or answers with long lists.
+//!
+//! The one time that is asserted is the rule's own: what a silent watch misses has to be known 6 s after it fell silent.
+
+use rstest::rstest;
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What a silent watch misses counts as known so long after it fell silent.
+const TERM: Duration = Duration::from_secs(6);
+const PATIENCE: Duration = Duration::from_secs(60);
+const SETTINGS: &str = include_str!("exchanges/settings.json");
+const MEMBERS: &str = r#"{"id":"s0","host_port":"127.0.0.1:1","cell":0,"phase":"Ready","up_since_ms":0}"#;
+
+/// A call as the stand-in reads it: the version it asks from and how long it waits (ms); none for the whole list.
+type Asked = Option<(u64, u64)>;
+
+enum Reply {
+    List(String),
+    Status(u16),
+    Nothing,
+    Reset,
+}
+
+fn list(revision: u64, complete: bool, members: &str) -> Reply {
+    Reply::List(format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":[{members}]}}"))
+}
+
+/// A discovery that answers each call with what `reply` says. It ends with the test's process.
+fn discovery(reply: impl Fn(Asked) -> Reply + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let reply = Arc::new(reply);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let reply = reply.clone();
+            std::thread::spawn(move || answer_calls(stream, reply.as_ref()));
+        }
+    });
+    address
+}
+
+fn answer_calls(mut stream: TcpStream, reply: &dyn Fn(Asked) -> Reply) {
+    let mut lines = BufReader::new(stream.try_clone().expect("a descriptor")).lines().map_while(Result::ok);
+    while let Some(line) = lines.next() {
+        let number = |key: &str| {
+            let rest = line.split_once(key)?.1;
+            rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+        };
+        let asked = number("index=").zip(number("wait="));
+        lines.by_ref().take_while(|header| !header.is_empty()).for_each(drop);
+        let sent = match reply(asked) {
+            Reply::Nothing => continue,
+            Reply::Reset => return,
+            Reply::Status(status) => {
+                write!(stream, "HTTP/1.1 {status} No\r\nContent-Length: 0\r\n\r\n")
+            }
+            Reply::List(body) => {
+                write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+            }
+        };
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
+struct Program {
+    child: Child,
+    path: PathBuf,
+    log: Receiver<(Instant, String)>,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+impl Program {
+    /// Starts it; `known` is its last known list, and `mode` how lists come.
+    fn start(mixers: u32, mode: &str, discovery: SocketAddr, known: bool) -> Program {
+        let settings = SETTINGS.replace("\"replicasOfMe\": 1", &format!("\"replicasOfMe\": {mixers}"));
+        let settings = settings.replace("\"subscribe\"", &format!("\"{mode}\""));
+        let known = if known {
+            format!("\"known\":{{\"revision\":1,\"complete\":true,\"members\":[{MEMBERS}]}},")
+        } else {
+            String::new()
+        };
+        let config = format!(
+            "{{\"settings\":{settings},\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",{known}\
+             \"limits\":{{\"memory_mb\":64}},\"discovery\":\"{discovery}\"}}"
+        );
+        let name = format!("wharfhub-silence-{}-{}", std::process::id(), discovery.port());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, config).expect("a file for the configuration");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wharfhub"));
+        let mut child =
+            command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped()).spawn().expect("a program");
+        let (lines, log) = channel();
+        let errors = BufReader::new(child.stderr.take().expect("piped"));
+        std::thread::spawn(move || {
+            errors.lines().map_while(Result::ok).all(|line| lines.send((Instant::now(), line)).is_ok())
+        });
+        Program { child, path, log }
+    }
+
+    /// Waits until it has logged that; gives when.
+    fn await_log(&self, text: &str) -> Instant {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            let (at, line) = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("never logged: {text}"));
+            if line.contains(text) {
+                return at;
+            }
+        }
+    }
+}
+
+/// When the watch falls silent, and a change is made in the same instant.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Instants {
+    /// As soon as it is made.
+    WatchMade,
+    /// Right after a call beside it was answered, so that the next one is as far away as it can be.
+    CallAnswered,
+}
+
+/// How a call fails.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Silent,
+    Refused,
+    Reset,
+}
+
+#[derive(Default)]
+struct Silence {
+    watches: u32,
+    since: Option<Instant>,
+    failed: usize,
+}
+
+/// A watch that falls silent in the worst instant, and then one or two calls that fail: what it missed is known within the
+/// term, however many mixers there are.
+#[rstest]
+fn what_a_silent_watch_misses_is_known_within_the_term(
+    #[values(30, 350, 1000)] mixers: u32,
+    #[values(
+        (Instants::WatchMade, vec![Fault::Silent]),
+        (Instants::WatchMade, vec![Fault::Reset, Fault::Silent]),
+        (Instants::CallAnswered, vec![Fault::Refused, Fault::Silent]),
+        (Instants::CallAnswered, vec![Fault::Silent, Fault::Silent])
+    )]
+    case: (Instants, Vec<Fault>),
+    #[values("subscribe", "automatic")] mode: &str,
+) {
+    let (instant, faults) = case;
+    let silence = Arc::new(Mutex::new(Silence::default()));
+    let shared = silence.clone();
+    let address = discovery(move |asked| {
+        let mut silence = shared.lock().expect("a lock");
+        let waits = asked.is_some_and(|(_, wait)| wait > 0);
+        if silence.since.is_some() {
+            // Whatever is asked from now on is asked without what the watch missed.
+            let fault = faults.get(silence.failed);
+            silence.failed += 1;
+            return match fault {
+                Some(Fault::Silent) => Reply::Nothing,
+                Some(Fault::Refused) => Reply::Status(503),
+                Some(Fault::Reset) => Reply::Reset,
+                None => list(2, false, &MEMBERS.replace("Ready", "Terminating")),
+            };
+        }
+        silence.watches += u32::from(waits);
+        let falls = match instant {
+            Instants::WatchMade => waits,
+            Instants::CallAnswered => (silence.watches > 0 && !waits) || silence.watches > 1,
+        };
+        silence.since = falls.then(Instant::now);
+        if waits {
+            Reply::Nothing
+        } else {
+            list(1, false, "")
+        }
+    });
+    let program = Program::start(mixers, mode, address, true);
+    let known_at = program.await_log("discovery: revision Some(2)");
+    let since = silence.lock().expect("a lock").since.expect("it fell silent");
+    assert!(known_at <= since + TERM, "known after {:?}", known_at - since);
+}
+
+/// A discovery that answers calls for changes with a refusal, or waits all the same, is still watched.
+#[rstest]
+#[case::refused(|| Reply::Status(400))]
+#[case::waits_all_the_same(|| Reply::Nothing)]
+fn a_discovery_that_only_knows_waits_is_watched(#[case] without_wait: fn() -> Reply) {
+    let address = discovery(move |asked| match asked {
+        None => list(3, true, MEMBERS),
+        Some((_, 0)) => without_wait(),
+        Some((3, _)) => list(4, false, &MEMBERS.replace("Ready", "Terminating")),
+        Some(_) => Reply::Nothing,
+    });
+    Program::start(2, "subscribe", address, true).await_log("discovery: revision Some(4)");
+}
+
+/// A discovery that answers whole lists to all calls: the same list again is no news.
+#[test]
+fn a_list_that_comes_again_is_read_once() {
+    let heartbeats = Arc::new(Mutex::new(0));
+    let count = heartbeats.clone();
+    let address = discovery(move |asked| {
+        let mut count = count.lock().expect("a lock");
+        match asked {
+            Some((2, 0)) => *count += 1,
+            Some((2, _)) => return Reply::Nothing,
+            _ => {}
+        }
+        list(if *count < 3 { 2 } else { 3 }, true, MEMBERS)
+    });
+    let program = Program::start(2, "automatic", address, true);
+    program.await_log("discovery: revision Some(2)");
+    let mut lines = 0;
+    let end = Instant::now() + PATIENCE;
+    while let Ok((_, line)) = program.log.recv_timeout(end.saturating_duration_since(Instant::now())) {
+        if line.contains("discovery: revision Some(3)") {
+            break;
+        }
+        lines += u32::from(line.contains("discovery: revision"));
+    }
+    assert_eq!((lines, *heartbeats.lock().expect("a lock")), (0, 3), "two heartbeats brought what was known");
+}
+
+/// 10,000 leaf servers with two spaces a level.
+#[test]
+fn a_long_indented_list_is_read() {
+    let mut members = String::new();
+    for id in 0..10_000 {
+        let comma = if id == 0 { "" } else { "," };
+        write!(
+            members,
+            "{comma}\n    {{\n      \"id\": \"s-{id:08x}\",\n      \"host_port\": \"10.1.{}.{}:8080\",\n      \
+             \"locality\": \"a\",\n      \"flavor\": \"m2\",\n      \"cell\": {},\n      \"phase\": \"Ready\",\n      \
+             \"size\": 1.0,\n      \"up_since_ms\": 0\n    }}",
+            id / 250,
+            id % 250,
+            id % 2
+        )
+        .expect("room");
+    }
+    assert!(members.len() > 2_000_000, "{}", members.len());
+    let address = discovery(move |asked| match asked {
+        None => list(7, true, &members),
+        Some(_) => Reply::Nothing,
+    });
+    Program::start(860, "automatic", address, false)
+        .await_log("discovery: revision Some(7), 10000 lines, full true");
+}
+
+/// A list over the limit is named with its size and the limit, and asked for ever more rarely.
+#[test]
+fn a_list_over_the_limit_is_asked_for_ever_more_rarely() {
+    let long = " ".repeat(5_000_000);
+    let address = discovery(move |_| Reply::List(long.clone()));
+    let program = Program::start(30, "subscribe", address, true);
+    for wait_s in [1, 2, 4] {
+        program.await_log(&format!(
+            "call failed (the list has 5000000 bytes or more, 4194304 are read (a share of limits.memory_mb)); \
+             not asked again for {wait_s} s"
+        ));
+    }
+}
