Add the experiment data-path: the daemon's CPU for a query, by the number of its parts

The experiment repeats it with the laboratory's own stand-ins: a closed loop of queries of 4 to 180 parts with a fitted law and one size kept out, and in the full run 163 queries of 180 parts a second with and without a slow leaf server, and the cost of more holders a partition. CPU comes from the scheduler's counters (schedstat), exact to the nanosecond. Not measured in this form yet.

--- a/crates/wharfhub-lab/src/daemon.rs
+++ b/crates/wharfhub-lab/src/daemon.rs
@@ -82,7 +82,36 @@
     Ok(daemon)
 }
 
+/// What a process has used so far, as the kernel counts it.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    /// Processor time of all its threads (seconds).
+    pub cpu_s: f64,
+    /// Memory that it occupies (bytes).
+    pub resident_bytes: u64,
+}
+
+fn first_number(text: &str) -> io::Result<u64> {
+    let number = text.split_whitespace().next().and_then(|word| word.parse().ok());
+    number.ok_or_else(|| io::ErrorKind::InvalidData.into())
+}
+
 impl Daemon {
+    /// Processor time and memory of the process. The scheduler's own counters are exact to the nanosecond, where those
+    /// of `/proc/PID/stat` go by ticks of 10 ms.
+    pub fn usage(&self) -> io::Result<Usage> {
+        let process = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let mut cpu_ns = 0;
+        for thread in std::fs::read_dir(process.join("task"))? {
+            let counters = std::fs::read_to_string(thread?.path().join("schedstat"))?;
+            cpu_ns += first_number(&counters)?;
+        }
+        let status = std::fs::read_to_string(process.join("status"))?;
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let resident_kb = first_number(resident.ok_or(io::ErrorKind::InvalidData)?)?;
+        Ok(Usage { cpu_s: cpu_ns as f64 * 1e-9, resident_bytes: resident_kb * 1024 })
+    }
+
     fn await_log(&mut self, text: &str) -> io::Result<String> {
         loop {
             let line = self.log.recv_timeout(PATIENCE);
--- /dev/null
+++ b/crates/wharfhub-lab/src/experiments/data_path.rs
@@ -0,0 +1,387 @@
+//! The data path: what a query costs the daemon in CPU, by the number of its parts, and its tail at the planned rate.
+//!
+//! One real daemon on loopback with 180 stand-in leaf servers. First one client asks queries of 4 to 180 parts in a
+//! closed loop; a law is fitted to the cost with one size kept out. Then, in the full run, clients send 163 queries of
+//! 180 parts a second in an open loop, with and without one slow server and second copies. Times are this machine's;
+//! the verdict rests on the ratio of costs.
+
+use super::{Failure, Options, Verdict};
+use crate::daemon::{self, Daemon};
+use crate::fit::{Point, Polynomial};
+use crate::load::{self, Load};
+use crate::report::{chart, Estimate, Line, Table};
+use crate::rules::Rules;
+use crate::site::{cardiff, Class, Day, Layout, Part, Query, Site, Trouble};
+use crate::standin::{self, lock, Shared};
+use crate::{tally, world};
+use rand::Rng;
+use rand_distr::{Distribution, Exp};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Numbers of parts that are measured, and the names of their classes.
+const SIZES: [(usize, &str); 5] =
+    [(4, "parts-4"), (12, "parts-12"), (45, "parts-45"), (90, "parts-90"), (180, "parts-180")];
+/// The size that the fit does not see and has to predict: its place in [`SIZES`].
+const HELD_OUT: usize = 2;
+/// The cost of a part may grow so many times from the smallest to the largest query.
+const MAX_COST_RATIO: f64 = 1.5;
+/// The prediction may be off by this share of the measured cost.
+const MAX_PREDICTION_ERROR: f64 = 0.25;
+/// A straight line stands as the law where no point lies further from it, as a share; otherwise a parabola is fitted.
+const MAX_LINE_RESIDUAL: f64 = 0.15;
+
+/// Leaf servers. Each shard has two holders, next to each other.
+const LEAF_SERVERS: u32 = 180;
+/// Jobs that a leaf server runs at once: more than ever come, so that it answers after its own time alone.
+const LEAF_CORES: usize = 64;
+/// The fleet that the daemon is told of, and what it is asked together (queries a second).
+const MIXERS: u32 = 860;
+const FLEET_QUERIES_PER_S: f64 = 140_000.0;
+/// An answer is in time within so long; clients wait longer (seconds).
+const LATENCY_TARGET_S: f64 = 0.24;
+const CLIENT_WAIT_S: f64 = 1.0;
+/// Mean time of a part at a leaf server in the closed loop and at the planned rate (seconds), and its spread to both
+/// sides as a share. In the closed loop parts are answered at once, so that the daemon is busy without a break: going to
+/// sleep and waking up cost a small query more than its parts do, and would hide what a part costs.
+const CLOSED_LOOP_PART_S: f64 = 0.0;
+const PLANNED_PART_S: f64 = 0.02;
+const PART_TIME_SPREAD: f64 = 0.5;
+
+/// Queries of each size in a round, and rounds: in the full and in the quick run. One round more comes first and does
+/// not count: it opens the connections.
+const QUERIES_A_ROUND: usize = 50;
+const ROUNDS: (usize, usize) = (8, 3);
+/// Length of a run at the planned rate, and the time before it begins (seconds).
+const PLANNED_S: f64 = 10.0;
+const START_S: f64 = 1.0;
+/// Leaf servers that hold a partition, in virtual time; the last is 5,220 servers for 180 partitions. Length of such a day
+/// (seconds): the module's windows of 8 s have to fill.
+const HOLDERS: [u32; 3] = [2, 8, 29];
+const VIRTUAL_S: f64 = 9.0;
+/// A slow server takes so many times as long: far over the latency target.
+const SLOW_FACTOR: f64 = 25.0;
+/// Times in the rules are so much longer on sockets (seconds).
+const SLACK_S: f64 = 0.05;
+
+/// What a run is made of beside its queries.
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    name: &'static str,
+    second_copies: bool,
+    slow_servers: u32,
+}
+
+/// In the closed loop nothing is sent twice: the cost is that of one attempt a part.
+const CLOSED_LOOP: Case = Case { name: "closed loop", second_copies: false, slow_servers: 0 };
+
+const PLANNED_CASES: [Case; 3] = [
+    Case { name: "all well", second_copies: true, slow_servers: 0 },
+    Case { name: "one slow, second copies", second_copies: true, slow_servers: 1 },
+    Case { name: "one slow, no second copies", second_copies: false, slow_servers: 1 },
+];
+
+/// The daemon with its leaf servers.
+struct Rig {
+    shared: Arc<Shared>,
+    daemon: Daemon,
+}
+
+/// The cost of queries of one size.
+struct SizeCost {
+    parts: usize,
+    cpu_us: Estimate, // of the daemon, a query
+    p50_ms: f64,
+    p99_ms: f64,
+    queries: usize,
+}
+
+impl SizeCost {
+    fn point(&self) -> Point {
+        Point { size: self.parts as f64, cost: self.cpu_us.mean }
+    }
+
+    fn part_us(&self) -> f64 {
+        self.cpu_us.mean / self.parts as f64
+    }
+}
+
+/// The day of a run: one class of query for each number of parts.
+fn day(seed: u64, case: Case) -> Day {
+    let class = |(parts, name): (usize, &'static str)| Class {
+        name,
+        share: 1.0 / SIZES.len() as f64,
+        parts: (parts, parts, 0.0),
+        work_s: PLANNED_PART_S,
+        aim_s: LATENCY_TARGET_S,
+        give_up_s: CLIENT_WAIT_S,
+        floor: 1.0,
+        ..cardiff().classes.remove(0)
+    };
+    let plain = cardiff();
+    let boxes = crate::model::BoxSetup { cores: LEAF_CORES, slots: LEAF_CORES, ..plain.boxes };
+    let site = Site {
+        zones: &["one"],
+        layout: Layout::Ring(1, 2),
+        classes: SIZES.map(class).to_vec(),
+        attempts: (plain.attempts.0, case.second_copies),
+        retries: (0, plain.retries.1, false),
+        boxes,
+        ..plain
+    };
+    let slow_share = f64::from(case.slow_servers) / f64::from(LEAF_SERVERS);
+    let slow = (0.0, f64::MAX, Trouble::SomeSlow(slow_share, SLOW_FACTOR));
+    let troubles = if case.slow_servers > 0 { vec![slow] } else { Vec::new() };
+    let mut day =
+        Day { seed, boxes: LEAF_SERVERS, mixers: MIXERS, seconds: 600.0, site, troubles, ..Day::default() };
+    day.load *= FLEET_QUERIES_PER_S / day.rate();
+    day
+}
+
+/// A query of this class at this time; its parts take a mean of `part_s` each.
+fn query(day: &Day, rng: &mut impl Rng, class: usize, at: f64, part_s: f64) -> Query {
+    let count = SIZES[class].0;
+    let shards = rand::seq::index::sample(rng, day.shards() as usize, count);
+    let part = |shard: usize| Part {
+        shard: shard as u32,
+        weight: 1.0 / count as f64,
+        work_s: part_s * rng.random_range(1.0 - PART_TIME_SPREAD..=1.0 + PART_TIME_SPREAD),
+        matches: true,
+    };
+    let parts = shards.into_iter().map(part).collect();
+    let key = rng.random();
+    Query { at, class, tenant: 0, key, parts, wait_s: CLIENT_WAIT_S, leaves_s: f64::MAX, mixer: 0 }
+}
+
+/// Opens leaf servers and starts a daemon that knows them.
+fn start(day: Day, queries: Vec<Query>, name: &str) -> Result<Rig, Failure> {
+    let program = daemon::program()?;
+    let shared = Arc::new(Shared {
+        queries,
+        start: Instant::now() + Duration::from_secs_f64(START_S),
+        rules: Mutex::new(Rules::new(&day, SLACK_S)),
+        work: Mutex::new((vec![0.0; day.site.classes.len()], 0, 0)),
+        day,
+    });
+    let leaves: Result<Vec<_>, _> =
+        (0..LEAF_SERVERS).map(|number| standin::open(&shared, number, false)).collect();
+    let config = daemon::config(&shared.day, 0, &leaves?, &[]);
+    let daemon = daemon::start(&program, &config, &format!("data-path-{name}"))?;
+    Ok(Rig { shared, daemon })
+}
+
+/// What the judge found, in words. A second copy that a leaf server reads after the final answer is no finding: on
+/// sockets it may have been written before that answer, and only the order of reading is seen here.
+fn broken_rules(shared: &Shared) -> Vec<String> {
+    let mut rules = lock(&shared.rules);
+    rules.over();
+    let undecided = |what: &&String| shared.day.site.attempts.1 && what.starts_with("ended: ");
+    rules.broken.iter().filter(|what| !undecided(what)).map(|what| format!("broken: {what}")).collect()
+}
+
+/// One client in a closed loop: all sizes in turn, round after round.
+fn measure_sizes(options: &Options, short: &mut Vec<String>) -> Result<Vec<SizeCost>, Failure> {
+    let day = day(options.seed, CLOSED_LOOP);
+    let rounds = 1 + if options.quick { ROUNDS.1 } else { ROUNDS.0 };
+    let mut rng = day.rng(30);
+    let mut queries = Vec::new();
+    for block in 0..rounds * SIZES.len() {
+        let class = block % SIZES.len();
+        queries.extend((0..QUERIES_A_ROUND).map(|_| query(&day, &mut rng, class, 0.0, CLOSED_LOOP_PART_S)));
+    }
+    let rig = start(day, queries, "sizes")?;
+    std::thread::sleep(Duration::from_secs_f64(START_S));
+    let mixer = vec![rig.daemon.address];
+    Load::new(&rig.shared, mixer.clone()).play_in_turn(0..SIZES.len() * QUERIES_A_ROUND);
+    let load = Load::new(&rig.shared, mixer);
+    let mut costs = vec![Vec::new(); SIZES.len()];
+    for block in SIZES.len()..rounds * SIZES.len() {
+        let before = rig.daemon.usage()?;
+        load.play_in_turn(block * QUERIES_A_ROUND..(block + 1) * QUERIES_A_ROUND);
+        let spent_s = rig.daemon.usage()?.cpu_s - before.cpu_s;
+        costs[block % SIZES.len()].push(spent_s * 1e6 / QUERIES_A_ROUND as f64);
+    }
+    let (asked, answered) = {
+        let tally = lock(&load.tally);
+        (tally.tries[tally::ASKED], tally.tries[tally::ANSWERED])
+    };
+    if answered < asked {
+        short.push(format!("{answered} of {asked} queries answered in the closed loop"));
+    }
+    short.extend(broken_rules(&rig.shared));
+    let (_, attempts, _) = *lock(&rig.shared.work);
+    let parts: usize = rig.shared.queries.iter().map(|query| query.parts.len()).sum();
+    let memory_mb = rig.daemon.usage()?.resident_bytes as f64 / 1e6;
+    println!("attempts a part: {:.3}; memory: {memory_mb:.1} MB", attempts as f64 / parts as f64);
+    let latency = lock(&load.latency);
+    let cost = |(class, costs): (usize, &Vec<f64>)| SizeCost {
+        parts: SIZES[class].0,
+        cpu_us: Estimate::of(costs),
+        p50_ms: latency[class].value_at_quantile(0.5) as f64 / 1000.0,
+        p99_ms: latency[class].value_at_quantile(0.99) as f64 / 1000.0,
+        queries: costs.len() * QUERIES_A_ROUND,
+    };
+    Ok(costs.iter().enumerate().map(cost).collect())
+}
+
+/// Shows the costs, fits their law and judges both.
+fn judge_sizes(options: &Options, costs: &[SizeCost], short: &mut Vec<String>) -> Result<(), Failure> {
+    let columns =
+        ["parts", "queries", "CPU µs a query", "CPU µs a part", "median answer ms", "p99 answer ms"];
+    let mut table = Table::new(&columns);
+    for cost in costs {
+        table.row(vec![
+            cost.parts.to_string(),
+            cost.queries.to_string(),
+            cost.cpu_us.text(1),
+            format!("{:.1}", cost.part_us()),
+            format!("{:.1}", cost.p50_ms),
+            format!("{:.1}", cost.p99_ms),
+        ]);
+    }
+    print!("{}", table.text());
+    table.save(&options.out.join("data-path.csv"))?;
+    let name = "CPU a part".to_string();
+    let each = |cost: &SizeCost| {
+        let parts = cost.parts as f64;
+        (parts, Estimate { mean: cost.cpu_us.mean / parts, half: cost.cpu_us.half / parts })
+    };
+    let line = Line { name, points: costs.iter().map(each).collect() };
+    let title = "CPU of the daemon a part";
+    chart(&options.out.join("data-path.svg"), title, ("parts of a query", "µs"), true, &[line])?;
+
+    let seen: Vec<Point> = costs.iter().map(SizeCost::point).collect();
+    let held_out = seen[HELD_OUT];
+    let fitted: Vec<Point> = seen.iter().copied().filter(|point| *point != held_out).collect();
+    let fit = |degree: usize| {
+        let law = Polynomial::fit(degree, &fitted);
+        law.ok_or_else(|| Failure::Other("the sizes determine no law".into()))
+    };
+    let line = fit(1)?;
+    let law = if line.residual <= MAX_LINE_RESIDUAL { line } else { fit(2)? };
+    let terms: Vec<String> = law.coefficients.iter().map(|term| format!("{term:.3}")).collect();
+    let error = law.relative_error(held_out);
+    println!(
+        "law: CPU µs a query = {} (by rising power of parts), residual {:.1}%; {} parts kept out: predicted {:.0} µs, \
+         measured {:.0} µs, error {:.1}%",
+        terms.join(" + "),
+        law.residual * 100.0,
+        held_out.size,
+        law.at(held_out.size),
+        held_out.cost,
+        error * 100.0
+    );
+    let ratio = costs[costs.len() - 1].part_us() / costs[0].part_us();
+    println!("CPU a part, largest query over smallest: {ratio:.2} (at most {MAX_COST_RATIO})");
+    if ratio > MAX_COST_RATIO {
+        short.push(format!("a part of the largest query costs {ratio:.2} times one of the smallest"));
+    }
+    if error > MAX_PREDICTION_ERROR {
+        short.push(format!("the law is {:.0}% off at the size kept out", error * 100.0));
+    }
+    Ok(())
+}
+
+/// Clients at the planned rate of one mixer, in an open loop. Gives the row of the table.
+fn measure_planned_rate(seed: u64, case: Case, short: &mut Vec<String>) -> Result<Vec<String>, Failure> {
+    let day = day(seed, case);
+    let largest = SIZES.len() - 1;
+    let mut rng = day.rng(31);
+    let gaps = Exp::new(FLEET_QUERIES_PER_S / f64::from(MIXERS)).expect("the rate is above 0");
+    let mut queries = Vec::new();
+    let mut at = gaps.sample(&mut rng);
+    while at < PLANNED_S {
+        queries.push(query(&day, &mut rng, largest, at, PLANNED_PART_S));
+        at += gaps.sample(&mut rng);
+    }
+    let rig = start(day, queries, "planned")?;
+    let before = rig.daemon.usage()?;
+    let load = load::play(&rig.shared, vec![rig.daemon.address]);
+    let after = rig.daemon.usage()?;
+    short.extend(broken_rules(&rig.shared));
+    let latency = &lock(&load.latency)[largest];
+    let tries = lock(&load.tally).tries;
+    let asked = tries[tally::ASKED].max(1);
+    let (_, attempts, _) = *lock(&rig.shared.work);
+    let in_time = latency.count_between(0, (LATENCY_TARGET_S * 1e6) as u64);
+    let ms = |quantile: f64| format!("{:.1}", latency.value_at_quantile(quantile) as f64 / 1000.0);
+    Ok(vec![
+        case.name.into(),
+        asked.to_string(),
+        format!("{:.4}", tries[tally::ANSWERED] as f64 / asked as f64),
+        format!("{:.4}", in_time as f64 / asked as f64),
+        ms(0.5),
+        ms(0.99),
+        format!("{:.3}", attempts as f64 / (asked as usize * SIZES[largest].0) as f64),
+        format!("{:.2}", (after.cpu_s - before.cpu_s) / PLANNED_S),
+        format!("{:.1}", after.resident_bytes as f64 / 1e6),
+        format!("{:.1}", lock(&load.lateness).value_at_quantile(0.99) as f64 / 1000.0),
+    ])
+}
+
+/// A day in virtual time at the planned rate of one mixer: 180 partitions, each at so many leaf servers.
+fn day_with_holders(seed: u64, holders: u32) -> Day {
+    let plain = day(seed, CLOSED_LOOP);
+    let parts = SIZES[SIZES.len() - 1].0;
+    let class = Class { share: 1.0, ..plain.site.classes[SIZES.len() - 1].clone() };
+    let layout = Layout::Sets(1, holders);
+    let mut day = Day {
+        boxes: parts as u32 * holders,
+        mixers: 1,
+        seconds: VIRTUAL_S,
+        site: Site { layout, next_to: true, classes: vec![class], ..plain.site },
+        ideal: true,
+        ..plain
+    };
+    day.load *= FLEET_QUERIES_PER_S / f64::from(MIXERS) / day.rate();
+    day
+}
+
+/// What choosing among more holders of each partition costs the core and its module, in virtual time without sockets.
+fn measure_holders(options: &Options, short: &mut Vec<String>) -> Result<(), Failure> {
+    let mut table = Table::new(&["holders of a partition", "leaf servers", "queries", "CPU µs a query"]);
+    for holders in HOLDERS {
+        let day = day_with_holders(options.seed, holders);
+        let run = world::play(&day)?;
+        short.extend(run.rules.broken.iter().map(|what| format!("broken: {what}")));
+        table.row(vec![
+            holders.to_string(),
+            day.boxes.to_string(),
+            run.taken.to_string(),
+            format!("{:.0}", run.cpu_s * 1e6 / run.taken.max(1) as f64),
+        ]);
+    }
+    println!("core and module alone, queries of 180 parts at 163/s in virtual time:");
+    print!("{}", table.text());
+    table.save(&options.out.join("data-path-holders.csv"))?;
+    Ok(())
+}
+
+/// Runs the experiment.
+pub fn run(options: &Options) -> Verdict {
+    let mut short = Vec::new();
+    let costs = measure_sizes(options, &mut short)?;
+    judge_sizes(options, &costs, &mut short)?;
+    if !options.quick {
+        let columns = [
+            "163 queries/s of 180 parts",
+            "queries",
+            "answered",
+            "within 240 ms",
+            "median ms",
+            "p99 ms",
+            "attempts a part",
+            "cores",
+            "memory MB",
+            "load late p99 ms",
+        ];
+        let mut table = Table::new(&columns);
+        for case in PLANNED_CASES {
+            table.row(measure_planned_rate(options.seed, case, &mut short)?);
+        }
+        print!("{}", table.text());
+        table.save(&options.out.join("data-path-planned.csv"))?;
+        measure_holders(options, &mut short)?;
+    }
+    Ok((!short.is_empty()).then(|| short.join("; ")))
+}
--- a/crates/wharfhub-lab/src/experiments/mod.rs
+++ b/crates/wharfhub-lab/src/experiments/mod.rs
@@ -1,5 +1,6 @@
 //! Experiments: each plays days, prints its table, leaves CSV and charts, and says whether it falls short.
 
+mod data_path;
 mod decisions;
 mod deployments;
 mod two_phase;
@@ -54,7 +55,12 @@
 }
 
 /// All of them.
-pub const ALL: [Experiment; 3] = [
+pub const ALL: [Experiment; 4] = [
+    Experiment {
+        name: "data-path",
+        what: "the daemon's CPU for a query, by the number of its parts",
+        run: data_path::run,
+    },
     Experiment {
         name: "decisions",
         what: "the CPU of a decision, by rate and by number of boxes",
--- a/crates/wharfhub-lab/src/lib.rs
+++ b/crates/wharfhub-lab/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod daemon;
 pub mod experiments;
+pub mod fit;
 pub mod journal;
 pub mod links;
 pub mod load;
--- a/crates/wharfhub-lab/src/load.rs
+++ b/crates/wharfhub-lab/src/load.rs
@@ -1,7 +1,8 @@
 //! Load on sockets: the day's queries sent when they are due, whatever has come back by then.
 //!
 //! This file owns the clients: open loop, latency counted from the moment a query was meant to be sent, tries and waits
-//! as in the emulator. It must never send sooner or later because an answer is slow.
+//! as in the emulator. An open loop must never send sooner or later because an answer is slow. Beside it there is one
+//! client in a closed loop, for measurements of what a single query costs.
 
 use crate::rules::{self, Ended, Piece};
 use crate::site::{Day, Query};
@@ -11,6 +12,7 @@
 use miniserde::{json, Deserialize};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::ops::Range;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -58,16 +60,9 @@
     Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are sound")
 }
 
-/// Sends all that the day asks to these mixers, and waits for the last answer.
+/// Sends all that the day asks to these mixers, each query when it is due, and waits for the last answer.
 pub fn play(shared: &Arc<Shared>, mixers: Vec<SocketAddr>) -> Load {
-    let load = Load {
-        shared: shared.clone(),
-        pools: mixers.iter().map(|_| Pool::default()).collect(),
-        mixers,
-        tally: Mutex::new(Tally::new(&shared.day)),
-        latency: Mutex::new(shared.day.site.classes.iter().map(|_| histogram()).collect()),
-        lateness: Mutex::new(histogram()),
-    };
+    let load = Load::new(shared, mixers);
     std::thread::scope(|scope| {
         for (number, query) in shared.queries.iter().enumerate() {
             let before = query.at - shared.now();
@@ -84,6 +79,26 @@
 }
 
 impl Load {
+    /// Clients of these mixers that have asked nothing yet.
+    pub fn new(shared: &Arc<Shared>, mixers: Vec<SocketAddr>) -> Load {
+        Load {
+            shared: shared.clone(),
+            pools: mixers.iter().map(|_| Pool::default()).collect(),
+            mixers,
+            tally: Mutex::new(Tally::new(&shared.day)),
+            latency: Mutex::new(shared.day.site.classes.iter().map(|_| histogram()).collect()),
+            lateness: Mutex::new(histogram()),
+        }
+    }
+
+    /// One client sends these queries of the day one after the other, each as soon as the one before is over.
+    pub fn play_in_turn(&self, numbers: Range<usize>) {
+        for number in numbers {
+            let query = Query { at: self.shared.now(), ..self.shared.queries[number].clone() };
+            self.query(number, &query);
+        }
+    }
+
     /// A query over all its tries.
     fn query(&self, number: usize, query: &Query) {
         let (shared, day) = (&self.shared, &self.shared.day);
--- a/crates/wharfhub-lab/src/standin.rs
+++ b/crates/wharfhub-lab/src/standin.rs
@@ -6,7 +6,7 @@
 
 use crate::model::{Arrival, Arriving, Fault, StockBox};
 use crate::rules::{self, Rules};
-use crate::site::{Day, Query};
+use crate::site::{Day, Query, Trouble};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -18,6 +18,8 @@
 /// Longest frame, head or body that a stand-in reads.
 const FRAME_MOST: usize = 1 << 20;
 const HEADERS_MOST: usize = 64;
+/// The purpose of the draw that says which servers are slow.
+const SLOW_SERVERS_DRAW: u64 = 20;
 
 /// A lock that a thread that died leaves usable.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -49,8 +51,8 @@
 
     /// How many times slower all boxes are now.
     fn slow(&self, now: f64) -> f64 {
-        let slow = |(from, to, trouble): &(f64, f64, crate::site::Trouble)| match trouble {
-            crate::site::Trouble::Slow(factor) if (*from..*to).contains(&now) => Some(*factor),
+        let slow = |(from, to, trouble): &(f64, f64, Trouble)| match trouble {
+            Trouble::Slow(factor) if (*from..*to).contains(&now) => Some(*factor),
             _ => None,
         };
         self.day.troubles.iter().find_map(slow).unwrap_or(1.0)
@@ -86,12 +88,10 @@
 pub fn open(shared: &Arc<Shared>, number: u32, search: bool) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
-    let inside = Inside {
-        stock: StockBox::new(shared.day.box_setup(number)),
-        held: BTreeMap::new(),
-        last: 0,
-        rng: shared.day.rng(1000 + u64::from(number)),
-    };
+    let mut stock = StockBox::new(shared.day.box_setup(number));
+    stock.slower = own_slowdown(&shared.day, number);
+    let inside =
+        Inside { stock, held: BTreeMap::new(), last: 0, rng: shared.day.rng(1000 + u64::from(number)) };
     let stand = Arc::new(Stand {
         number,
         shared: shared.clone(),
@@ -112,6 +112,17 @@
     Ok(address)
 }
 
+/// How many times slower than usual a leaf server is by itself: those that a `SomeSlow` concerns are slow all day.
+fn own_slowdown(day: &Day, number: u32) -> f64 {
+    let slowdown = |(_, _, trouble): &(f64, f64, Trouble)| match trouble {
+        Trouble::SomeSlow(share, factor) => {
+            day.some_boxes(SLOW_SERVERS_DRAW, *share).contains(&number).then_some(*factor)
+        }
+        _ => None,
+    };
+    day.troubles.iter().find_map(slowdown).unwrap_or(1.0)
+}
+
 impl Stand {
     fn serve(&self, stream: TcpStream, search: bool) -> io::Result<()> {
         let out = Arc::new(Mutex::new(stream.try_clone()?));
@@ -236,7 +247,11 @@
         match arrival {
             Arrival::Held => {
                 inside.held.insert(job, held);
-                self.changed.notify_one();
+                // What takes no time is answered here and now.
+                self.turn(&mut inside, now);
+                if !inside.held.is_empty() {
+                    self.changed.notify_one();
+                }
             }
             Arrival::Full => self.answer(&held, "skipped"),
             Arrival::Fails => self.answer(&held, "broke"),
