--- a/crates/wharfhub-lab/src/experiments/decisions.rs
+++ b/crates/wharfhub-lab/src/experiments/decisions.rs
@@ -1,12 +1,16 @@
-//! The CPU that a mixer's core and module spend on a query, by the rate of queries and by the number of boxes.
+//! The CPU that a mixer's core and module spend on a query: by the rate of queries, by the number of leaf servers, and
+//! by the number of its parts.
 //!
-//! One mixer, queries of four parts, boxes that answer after 50 ms whatever they hold: only the mixer's own cost
-//! changes. Times are this machine's; the verdict rests on their ratios.
+//! One mixer, leaf servers that answer after 50 ms whatever they hold: only the mixer's own cost changes. Times are this
+//! machine's; the verdict rests on their ratios. Beside these cells stand days on which much goes wrong: their digests,
+//! with those of the cells, tell whether another program decides the same.
 
+use super::two_phase::PHASES;
 use super::{Failure, Options, Verdict};
 use crate::report::{chart, Estimate, Line, Table};
-use crate::site::{cardiff, Class, Day, Site};
-use crate::world;
+use crate::site::{cardiff, szeged, Class, Day, Site, Trouble};
+use crate::world::{self, Run};
+use std::path::Path;
 
 const RATES: [f64; 3] = [50.0, 500.0, 5000.0];
 const BOXES: [u32; 4] = [4, 20, 200, 2000];
@@ -16,11 +20,21 @@
 const QUERIES: f64 = 4000.0;
 const LEAST_S: f64 = 9.0;
 
-fn day(rate: f64, boxes: u32, seed: u64, quick: bool) -> Day {
+/// Parts of a query, the leaf servers that answer them, and the rate of parts (a second).
+const PARTS: [usize; 3] = [4, 45, 180];
+const SERVERS: u32 = 200;
+const PARTS_PER_S: f64 = 4000.0;
+/// The cost of a part may differ so many times between the least and the greatest query.
+const LINEAR: f64 = 1.5;
+/// Length of a day on which much goes wrong (seconds).
+const TROUBLED_S: f64 = 14.0;
+
+/// A day on which every query has so many parts, and servers answer them after 50 ms.
+fn ideal_day(rate: f64, boxes: u32, parts: usize, seed: u64, quick: bool) -> Day {
     let class = Class {
         name: "slot-check",
         share: 1.0,
-        parts: (4, 4, 0.0),
+        parts: (parts, parts, 0.0),
         work_s: 0.05,
         ..cardiff().classes.remove(1)
     };
@@ -38,43 +52,152 @@
     day
 }
 
-pub fn run(options: &Options) -> Verdict {
-    let runs = if options.quick { 2 } else { 5 };
-    let cells: Vec<(u32, f64)> = BOXES.iter().flat_map(|boxes| RATES.map(|rate| (*boxes, rate))).collect();
-    let (mut costs, mut digests) = (vec![f64::MAX; cells.len()], vec![None; cells.len()]);
-    let mut broken = 0;
-    // The same days again and again, in turns: what differs is the machine, and the least is the cost.
-    for _ in 0..runs {
-        for (place, (boxes, rate)) in cells.iter().enumerate() {
-            let run = world::play(&day(*rate, *boxes, options.seed, options.quick))?;
-            costs[place] = costs[place].min(run.cpu_s * 1e6 / run.taken.max(1) as f64);
-            if *digests[place].get_or_insert(run.digest) != run.digest {
-                return Err(Failure::Other("two plays of one day differ".into()));
-            }
-            broken += run.rules.count;
+/// A day of all classes, with so many parts at least, on which much goes wrong.
+fn troubled_day(site: Site, parts: usize, phases: bool, seed: u64) -> Day {
+    let classes = site.classes.iter().map(|class| Class { parts: (parts, parts, 0.0), ..class.clone() });
+    let phases = phases.then(|| PHASES.to_owned());
+    let troubles = vec![
+        (1.0, 3.0, Trouble::SomeSlow(0.2, 4.0)),
+        (2.0, 5.0, Trouble::Silent(0.05)),
+        (3.0, 6.0, Trouble::Fails(0.1, 0.5)),
+        (5.0, 7.0, Trouble::Dead(0.1)),
+        (6.0, 7.5, Trouble::Burst(2.0)),
+        (8.0, 10.0, Trouble::Pauses(0.2, 0.1, 0.5)),
+        (9.0, 11.0, Trouble::Drain(0.1)),
+        (10.0, 12.0, Trouble::Slow(1.5)),
+    ];
+    Day {
+        seed,
+        boxes: SERVERS,
+        mixers: 2,
+        seconds: TROUBLED_S,
+        site: Site { classes: classes.collect(), ..site },
+        phases,
+        troubles,
+        leaving: 0.05,
+        ..Day::default()
+    }
+}
+
+/// A cell of the experiment, played as often as there are runs.
+struct Cell {
+    day: Day,
+    least_cost_us: f64, // of a query
+    digest: Option<u64>,
+    broken: usize,
+}
+
+impl Cell {
+    fn new(day: Day) -> Cell {
+        Cell { day, least_cost_us: f64::MAX, digest: None, broken: 0 }
+    }
+
+    fn play(&mut self) -> Result<Run, Failure> {
+        let run = world::play(&self.day)?;
+        self.least_cost_us = self.least_cost_us.min(run.cpu_s * 1e6 / run.taken.max(1) as f64);
+        if *self.digest.get_or_insert(run.digest) != run.digest {
+            return Err(Failure::Other("two plays of one day differ".into()));
         }
+        self.broken += run.rules.count as usize;
+        Ok(run)
+    }
+
+    fn digest(&self) -> String {
+        format!("{:016x}", self.digest.unwrap_or_default())
     }
+}
+
+/// How many times the highest cost is the least.
+fn spread(costs: impl Iterator<Item = f64>) -> f64 {
+    let (least, most) =
+        costs.fold((f64::MAX, 0.0_f64), |(least, most), cost| (least.min(cost), most.max(cost)));
+    most / least
+}
+
+/// The table and the chart by rate and by number of leaf servers; gives how much the cost differs.
+fn show_rates(cells: &[Cell], out: &Path) -> Result<f64, Failure> {
     let mut table = Table::new(&["boxes", "queries/s", "CPU µs a query", "digest of what was done"]);
     let mut lines: Vec<Line> = Vec::new();
-    for (((boxes, rate), cost), digest) in cells.iter().zip(&costs).zip(&digests) {
-        let digest = format!("{:016x}", digest.unwrap_or_default());
-        table.row(vec![boxes.to_string(), format!("{rate:.0}"), format!("{cost:.1}"), digest]);
-        if *rate == RATES[0] {
+    let places = BOXES.iter().flat_map(|boxes| RATES.map(|rate| (*boxes, rate)));
+    for (cell, (boxes, rate)) in cells.iter().zip(places) {
+        let cost = cell.least_cost_us;
+        table.row(vec![boxes.to_string(), format!("{rate:.0}"), format!("{cost:.1}"), cell.digest()]);
+        if rate == RATES[0] {
             lines.push(Line { name: format!("{boxes} boxes"), points: Vec::new() });
         }
-        let point = (*rate, Estimate { mean: *cost, half: 0.0 });
+        let point = (rate, Estimate { mean: cost, half: 0.0 });
         lines.iter_mut().last().into_iter().for_each(|line| line.points.push(point));
     }
-    let (least, most) =
-        costs.iter().fold((f64::MAX, 0.0f64), |(least, most), cost| (least.min(*cost), most.max(*cost)));
+    let spread = spread(cells.iter().map(|cell| cell.least_cost_us));
     print!("{}", table.text());
-    println!("highest over lowest: {:.2}", most / least);
-    table.save(&options.out.join("decisions.csv"))?;
+    println!("highest over lowest: {spread:.2}");
+    table.save(&out.join("decisions.csv"))?;
     let title = "CPU of core and module a query (four parts)";
-    chart(&options.out.join("decisions.svg"), title, ("queries a second", "µs"), true, &lines)?;
+    chart(&out.join("decisions.svg"), title, ("queries a second", "µs"), true, &lines)?;
+    Ok(spread)
+}
+
+/// The table by the number of parts; gives how many times as much a part of the greatest query costs.
+fn show_parts(cells: &[Cell], out: &Path) -> Result<f64, Failure> {
+    let mut table = Table::new(&["parts", "CPU µs a query", "CPU µs a part", "digest of what was done"]);
+    let cost = |place: usize| cells[place].least_cost_us / PARTS[place] as f64;
+    for (place, cell) in cells.iter().enumerate() {
+        let query = format!("{:.1}", cell.least_cost_us);
+        table.row(vec![PARTS[place].to_string(), query, format!("{:.2}", cost(place)), cell.digest()]);
+    }
+    let growth = cost(PARTS.len() - 1) / cost(0);
+    print!("{}", table.text());
+    println!("a part of the greatest query over one of the least: {growth:.2}");
+    table.save(&out.join("decisions-parts.csv"))?;
+    Ok(growth)
+}
+
+/// Days on which much goes wrong: only what was done counts there.
+fn troubled_days(options: &Options) -> Result<usize, Failure> {
+    let mut table = Table::new(&["site", "parts", "phases", "queries", "digest of what was done"]);
+    let mut broken = 0;
+    for parts in PARTS {
+        for (site, phases) in [(cardiff(), false), (cardiff(), true), (szeged(), false)] {
+            let name = site.name;
+            let mut cell = Cell::new(troubled_day(site, parts, phases, options.seed));
+            let taken = cell.play()?.taken;
+            broken += cell.broken;
+            let phases = if phases { "on" } else { "off" };
+            table.row(vec![name.into(), parts.to_string(), phases.into(), taken.to_string(), cell.digest()]);
+        }
+    }
+    print!("{}", table.text());
+    table.save(&options.out.join("decisions-troubled.csv"))?;
+    Ok(broken)
+}
+
+pub fn run(options: &Options) -> Verdict {
+    let runs = if options.quick { 2 } else { 5 };
+    let day = |rate: f64, boxes: u32, parts: usize| {
+        Cell::new(ideal_day(rate, boxes, parts, options.seed, options.quick))
+    };
+    let mut rates: Vec<Cell> =
+        BOXES.iter().flat_map(|boxes| RATES.map(|rate| day(rate, *boxes, 4))).collect();
+    let mut parts: Vec<Cell> =
+        PARTS.iter().map(|parts| day(PARTS_PER_S / *parts as f64, SERVERS, *parts)).collect();
+    // The same days again and again, in turns: what differs is the machine, and the least is the cost.
+    for _ in 0..runs {
+        for cell in rates.iter_mut().chain(&mut parts) {
+            cell.play()?;
+        }
+    }
+    let spread = show_rates(&rates, &options.out)?;
+    let growth = show_parts(&parts, &options.out)?;
+    let mut broken: usize = rates.iter().chain(&parts).map(|cell| cell.broken).sum();
+    broken += troubled_days(options)?;
     if broken > 0 {
         return Ok(Some(format!("{broken} rules broken")));
     }
-    Ok((most / least > FLAT)
-        .then(|| format!("the cost differs {:.2} times, not {FLAT} at most", most / least)))
+    if growth > LINEAR {
+        return Ok(Some(format!(
+            "a part of {} costs {growth:.2} times one of 4, not {LINEAR} at most",
+            PARTS[2]
+        )));
+    }
+    Ok((spread > FLAT).then(|| format!("the cost differs {spread:.2} times, not {FLAT} at most")))
 }
--- a/src/choices/mod.rs
+++ b/src/choices/mod.rs
@@ -2,6 +2,11 @@
 
 pub mod asking;
 pub mod connections;
+pub mod crashes;
+pub mod ejection;
 pub mod idle;
+pub mod idle_loss;
 pub mod jam;
 pub mod phases;
+pub mod price;
+pub mod progress;
--- /dev/null
+++ b/src/choices/progress.rs
@@ -0,0 +1,208 @@
+//! The progress of one query: the weight that is answered or may still be, and which of its parts need a look.
+//!
+//! This file owns these counts and keeps them up to date part by part, so that an answer costs the same whatever the
+//! number of parts. It must never decide what is sent or answered, and never read a clock.
+
+use crate::times::Moment;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Units in a weight of 1. Sums of whole units are exact, in whatever order they come about.
+const UNITS: f64 = (1_u64 << 60) as f64;
+
+/// An exact weight or sum of weights, in units.
+pub type Units = u128;
+
+/// A weight in units: rounded up, so that none above 0 is lost.
+fn units(weight: f64) -> Units {
+    Units::from((weight * UNITS).ceil() as u64)
+}
+
+/// A sum of weights as a share of the whole.
+pub fn share(sum: Units) -> f64 {
+    sum as f64 / UNITS
+}
+
+/// A part with an attempt in flight.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct InFlight {
+    /// When the first of those in flight was sent.
+    pub sent_at: f64,
+    /// Whether that one only asks ahead.
+    pub ahead: bool,
+    /// Whether its replica is ejected.
+    pub ejected: bool,
+    /// Whether it is the only one, and not cancelled.
+    pub single: bool,
+}
+
+/// Where a part stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum PartState {
+    /// It is not wanted yet: a whole answer may do without it.
+    #[default]
+    Spare,
+    /// It is wanted, and nothing is in flight.
+    Pending {
+        /// Whether nothing was ever sent.
+        untried: bool,
+    },
+    /// It is wanted, and something is in flight.
+    InFlight(InFlight),
+    /// It has its answer.
+    Answered,
+}
+
+/// A part as it is counted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Tracked {
+    weight: Units,
+    cell: u32,
+    state: PartState,
+}
+
+/// Single attempts in flight, in the order of their group, then of their sending, then of their parts.
+type Single = (Group, Moment, usize);
+
+/// Attempts in flight that become overdue after the same time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Group {
+    /// Whether they only ask ahead.
+    pub ahead: bool,
+    /// Whether their replicas are ejected.
+    pub ejected: bool,
+}
+
+/// The parts of a query's step, by their place in it, and what they add up to.
+#[derive(Debug, Default, PartialEq)]
+pub struct Progress {
+    parts: Vec<Tracked>,
+    answered: Units,
+    in_flight: Units,
+    spare: Units,
+    in_flight_count: usize,
+    ejected_count: usize,
+    pending: BTreeSet<usize>,
+    single: BTreeSet<Single>,
+    untried: BTreeMap<u32, usize>, // by cell
+}
+
+impl Progress {
+    /// One more part, a spare, whose shard begins at this cell.
+    pub fn push(&mut self, weight: f64, cell: u32) {
+        let part = Tracked { weight: units(weight), cell, state: PartState::Spare };
+        self.spare += part.weight;
+        self.parts.push(part);
+    }
+
+    /// A part stands elsewhere now.
+    pub fn set(&mut self, place: usize, state: PartState) {
+        let Some(part) = self.parts.get_mut(place).filter(|part| part.state != state) else { return };
+        let before = std::mem::replace(part, Tracked { state, ..*part });
+        self.discount(place, before);
+        self.count(place, Tracked { state, ..before });
+    }
+
+    fn count(&mut self, place: usize, part: Tracked) {
+        match part.state {
+            PartState::Spare => self.spare += part.weight,
+            PartState::Answered => self.answered += part.weight,
+            PartState::Pending { untried } => {
+                self.pending.insert(place);
+                if untried {
+                    *self.untried.entry(part.cell).or_default() += 1;
+                }
+            }
+            PartState::InFlight(flight) => {
+                self.in_flight += part.weight;
+                self.in_flight_count += 1;
+                self.ejected_count += usize::from(flight.ejected);
+                if flight.single {
+                    self.single.insert(flight.key(place));
+                }
+            }
+        }
+    }
+
+    fn discount(&mut self, place: usize, part: Tracked) {
+        match part.state {
+            PartState::Spare => self.spare -= part.weight,
+            PartState::Answered => self.answered -= part.weight,
+            PartState::Pending { untried } => {
+                self.pending.remove(&place);
+                if let Some(count) = self.untried.get_mut(&part.cell).filter(|_| untried) {
+                    *count -= 1;
+                }
+            }
+            PartState::InFlight(flight) => {
+                self.in_flight -= part.weight;
+                self.in_flight_count -= 1;
+                self.ejected_count -= usize::from(flight.ejected);
+                if flight.single {
+                    self.single.remove(&flight.key(place));
+                }
+            }
+        }
+    }
+
+    /// The weight that is answered.
+    pub fn answered(&self) -> Units {
+        self.answered
+    }
+
+    /// The weight that is in flight.
+    pub fn in_flight(&self) -> Units {
+        self.in_flight
+    }
+
+    /// The weight of the spares.
+    pub fn spare(&self) -> Units {
+        self.spare
+    }
+
+    /// Whether anything is in flight for a part without an answer.
+    pub fn is_in_flight(&self) -> bool {
+        self.in_flight_count > 0
+    }
+
+    /// The places of parts with something in flight.
+    pub fn places_in_flight(&self) -> Vec<usize> {
+        let is_in_flight = |place: &usize| matches!(self.parts[*place].state, PartState::InFlight(_));
+        (0..self.parts.len()).filter(is_in_flight).collect()
+    }
+
+    /// Wanted parts with nothing in flight, by place, each with its weight.
+    pub fn pending(&self) -> impl Iterator<Item = (usize, Units)> + '_ {
+        self.pending.iter().map(|place| (*place, self.parts[*place].weight))
+    }
+
+    /// How many wanted parts whose shards begin at one of these cells were never sent.
+    pub fn untried(&self, cells: impl Iterator<Item = u32>) -> usize {
+        cells.filter_map(|cell| self.untried.get(&cell)).sum()
+    }
+
+    /// Parts of a group of which the only attempt was sent by then, oldest first.
+    pub fn sent_by(&self, group: Group, limit: f64) -> impl Iterator<Item = usize> + '_ {
+        self.single.range((group, Moment(f64::MIN), 0)..=(group, Moment(limit), usize::MAX)).map(|key| key.2)
+    }
+
+    /// Since when the oldest single attempt has been in flight (without end where there is none), if no replica is
+    /// ejected that has one.
+    pub fn oldest(&self) -> Option<f64> {
+        let first = |ahead: bool| {
+            let group = Group { ahead, ejected: false };
+            let of_group = self.single.range((group, Moment(f64::MIN), 0)..);
+            of_group.take_while(move |key| key.0 == group).map(|key| key.1 .0).next()
+        };
+        let oldest = first(false).into_iter().chain(first(true)).fold(f64::MAX, f64::min);
+        (self.ejected_count == 0).then_some(oldest)
+    }
+}
+
+impl InFlight {
+    fn key(&self, place: usize) -> Single {
+        (Group { ahead: self.ahead, ejected: self.ejected }, Moment(self.sent_at), place)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/choices/progress/tests.rs
@@ -0,0 +1,120 @@
+//! The kept counts against a full recount, after any row of events.
+
+use super::*;
+use proptest::prelude::*;
+
+fn state() -> impl Strategy<Value = PartState> {
+    let in_flight = (0_u8..20, any::<[bool; 3]>()).prop_map(|(sent_at, [ahead, ejected, single])| {
+        PartState::InFlight(InFlight { sent_at: f64::from(sent_at), ahead, ejected, single })
+    });
+    prop_oneof![
+        Just(PartState::Spare),
+        any::<bool>().prop_map(|untried| PartState::Pending { untried }),
+        in_flight,
+        Just(PartState::Answered),
+    ]
+}
+
+/// A part's weight and cell.
+type Part = (f64, u32);
+
+/// A part's place, and where it stands from now on.
+type Change = (usize, PartState);
+
+fn parts_and_changes() -> impl Strategy<Value = (Vec<Part>, Vec<Change>)> {
+    let part = (prop_oneof![Just(0.0), 1e-30..1e-20, 0.001..1.0, Just(1e300)], 0_u32..5);
+    (prop::collection::vec(part, 1..30), prop::collection::vec((0_usize..30, state()), 0..200))
+}
+
+/// All that can be asked of a query's parts, by looking at each.
+struct Recount<'a> {
+    parts: &'a [Part],
+    states: &'a [PartState],
+}
+
+impl Recount<'_> {
+    fn weight(&self, of: impl Fn(&PartState) -> bool) -> Units {
+        let chosen = self.parts.iter().zip(self.states).filter(|(_, state)| of(state));
+        chosen.map(|((weight, _), _)| units(*weight)).sum()
+    }
+
+    fn in_flight(&self) -> impl Iterator<Item = (usize, InFlight)> + '_ {
+        self.states.iter().enumerate().filter_map(|(place, state)| match state {
+            PartState::InFlight(flight) => Some((place, *flight)),
+            _ => None,
+        })
+    }
+
+    fn pending(&self) -> Vec<(usize, Units)> {
+        let is_pending = |place: &usize| matches!(self.states[*place], PartState::Pending { .. });
+        let places = (0..self.parts.len()).filter(is_pending);
+        places.map(|place| (place, units(self.parts[place].0))).collect()
+    }
+
+    fn untried(&self, cells: &[u32]) -> usize {
+        let untried = |state: &PartState| *state == PartState::Pending { untried: true };
+        let of = self.parts.iter().zip(self.states);
+        of.filter(|((_, cell), state)| untried(state) && cells.contains(cell)).count()
+    }
+
+    fn sent_by(&self, group: Group, limit: f64) -> Vec<usize> {
+        let is_due = |flight: &InFlight| {
+            let in_group = flight.ahead == group.ahead && flight.ejected == group.ejected;
+            in_group && flight.single && flight.sent_at <= limit
+        };
+        let mut due: Vec<_> = self.in_flight().filter(|(_, flight)| is_due(flight)).collect();
+        due.sort_by(|a, b| a.1.sent_at.total_cmp(&b.1.sent_at).then(a.0.cmp(&b.0)));
+        due.into_iter().map(|(place, _)| place).collect()
+    }
+
+    fn oldest(&self) -> Option<f64> {
+        let singles = self.in_flight().filter(|(_, flight)| flight.single);
+        let oldest = singles.map(|(_, flight)| flight.sent_at).fold(f64::MAX, f64::min);
+        (!self.in_flight().any(|(_, flight)| flight.ejected)).then_some(oldest)
+    }
+}
+
+proptest! {
+    #[test]
+    fn counts_are_those_of_a_full_recount((parts, changes) in parts_and_changes(), limit in 0_u8..20) {
+        let mut progress = Progress::default();
+        parts.iter().for_each(|(weight, cell)| progress.push(*weight, *cell));
+        let mut states = vec![PartState::Spare; parts.len()];
+        for (place, state) in changes {
+            progress.set(place, state);
+            if let Some(known) = states.get_mut(place) {
+                *known = state;
+            }
+            let recount = Recount { parts: &parts, states: &states };
+            prop_assert_eq!(progress.answered(), recount.weight(|state| *state == PartState::Answered));
+            prop_assert_eq!(progress.spare(), recount.weight(|state| *state == PartState::Spare));
+            let in_flight = |state: &PartState| matches!(state, PartState::InFlight(_));
+            prop_assert_eq!(progress.in_flight(), recount.weight(in_flight));
+            prop_assert_eq!(progress.is_in_flight(), recount.in_flight().next().is_some());
+            let places: Vec<usize> = recount.in_flight().map(|(place, _)| place).collect();
+            prop_assert_eq!(progress.places_in_flight(), places);
+            prop_assert_eq!(progress.pending().collect::<Vec<_>>(), recount.pending());
+            prop_assert_eq!(progress.untried([1, 3].into_iter()), recount.untried(&[1, 3]));
+            prop_assert_eq!(progress.oldest(), recount.oldest());
+            for (ahead, ejected) in [(false, false), (false, true), (true, false), (true, true)] {
+                let group = Group { ahead, ejected };
+                let due: Vec<usize> = progress.sent_by(group, f64::from(limit)).collect();
+                prop_assert_eq!(due, recount.sent_by(group, f64::from(limit)));
+            }
+        }
+    }
+}
+
+#[test]
+fn no_weight_above_nothing_is_lost_and_a_whole_is_one() {
+    let mut progress = Progress::default();
+    for place in 0..180 {
+        progress.push(1.0 / 180.0, 0);
+        progress.set(place, PartState::Answered);
+    }
+    assert!((share(progress.answered()) - 1.0).abs() < 1e-12);
+    let mut progress = Progress::default();
+    progress.push(1e-300, 0);
+    progress.set(0, PartState::Answered);
+    assert!(share(progress.answered()) > 0.0);
+}
--- a/src/held.rs
+++ b/src/held.rs
@@ -4,6 +4,7 @@
 //! anything: what is sent, waited for or refused stands in `logic.rs`.
 
 use crate::api::*;
+use crate::choices::progress::{InFlight, PartState, Progress};
 
 /// Latency quantile that counts as late.
 const LATE: f64 = 0.95;
@@ -12,6 +13,9 @@
 /// What has been out for some time takes so many times as long in the end, at the least that one should reckon with.
 const OUT_LONGER: f64 = 1.2;
 
+/// Weight of a new answer in what is smoothed by replica.
+pub(crate) const SMOOTHING: f64 = 0.3;
+
 /// The average fades in so many aims; an answer's weight at most. The least average grows by this with each answer.
 const AVERAGE: (f64, f64) = (0.33, 0.2);
 const LEAST_GROWS: f64 = 0.001;
@@ -128,6 +132,7 @@
 #[derive(Default)]
 pub(crate) struct Part {
     pub(crate) query: Option<QueryId>, // none once the query's step is over
+    pub(crate) place: usize,           // among the parts of its query's step
     pub(crate) class: usize,
     pub(crate) shard: u32,
     pub(crate) weight: f64,
@@ -148,6 +153,22 @@
         self.attempts.iter().enumerate().filter(|(_, attempt)| attempt.outcome.is_none())
     }
 
+    /// Where it stands, if the replica of the first attempt in flight is ejected or not, as is asked for that attempt.
+    pub(crate) fn state(&self, is_ejected: impl Fn(&Attempt) -> bool) -> PartState {
+        let mut in_flight = self.out().map(|(_, attempt)| attempt);
+        match in_flight.next() {
+            _ if self.answered => PartState::Answered,
+            _ if !self.wanted => PartState::Spare,
+            None => PartState::Pending { untried: self.attempts.is_empty() },
+            Some(first) => PartState::InFlight(InFlight {
+                sent_at: first.sent_at,
+                ahead: first.lane != self.class,
+                ejected: is_ejected(first),
+                single: !first.cancelled && in_flight.next().is_none(),
+            }),
+        }
+    }
+
     /// The first attempt that is not proved never to have run.
     pub(crate) fn may_have_run(&self) -> Option<&Attempt> {
         let unseen = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot].map(Some);
@@ -168,6 +189,8 @@
     pub(crate) aim_at: f64,
     pub(crate) expected: usize,
     pub(crate) parts: Vec<PartId>,
+    pub(crate) progress: Progress, // of these parts
+    pub(crate) ejections: u64,     // that the progress knows of
     pub(crate) ahead: Option<Ahead>,
     pub(crate) second_step: bool,
     pub(crate) first_was_whole: bool,
@@ -222,6 +245,12 @@
         self.calls.first().map_or(0.0, |call| OUT_LONGER * (now - call.since))
     }
 
+    /// An answer took so many times the average.
+    pub(crate) fn heard(&mut self, now: f64, slower: f64) {
+        let before = self.known.slower.unwrap_or(slower);
+        (self.known.slower, self.known.heard_at) = (Some(before + SMOOTHING * (slower - before)), now);
+    }
+
     /// Whether it gets nothing but trials, for this class.
     pub(crate) fn barred(&self, class: usize) -> bool {
         self.known.bar.until.is_some() || self.known.lanes[class].bar.until.is_some()
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,21 +1,18 @@
 //! Every decision of an aggregator, by one timer and the events of `src/api.rs`. Read from top to bottom.
 
 use crate::api::*;
+use crate::choices::crashes::Convictions;
+use crate::choices::ejection::FAILURES_TO_EJECT;
+use crate::choices::idle_loss::IdleLosses;
+use crate::choices::price::{fallen_in_s, MOST_REFUSED, TOKENS};
+use crate::choices::progress::{share, Group, Progress};
 use crate::choices::{asking::Asking, jam::Jam};
 use crate::held::*;
 use crate::times::{self, Schedule};
 use std::collections::{BTreeMap, BTreeSet};
 
-const TOKENS: f64 = 10.0; // tokens are drawn uniformly from 0 to this; prices stay within it
-const RISE: (f64, f64) = (0.5, 1.0); // tokens a price rises for each threshold of excess, and at most
-const FALL: f64 = 1.0; // tokens that a price falls in an interval with little delay
-const THRESHOLD: f64 = 0.2; // the delay threshold of a class, as a share of its aim
-const INTERVAL_S: f64 = 0.02; // shortest interval between readings
-const EMPTY: (f64, f64) = (0.7, 3.3); // aims after which one with no answers, or too few, reads as no delay
 const COME_BACK_S: f64 = 0.1; // least time to come back that a refusal tells
 const TOO_LATE: (f64, f64, f64) = (0.4, 0.9, 2.0); // shares of the time that refuse; s in which news fades
-const MOST_REFUSED: f64 = 0.95; // share of queries that a price or late news refuses at most
-const SMOOTHING: f64 = 0.3; // weight of a new answer in a replica's smoothed latency
 const FORGOTTEN: f64 = 0.05; // what has faded to this share is forgotten
 const FORGET: (f64, f64) = (1.0, 6.0); // what is known of a replica fades in so many s, and at least sends
 const OVERDUE: f64 = 1.1; // a part out for so many late latencies is overdue
@@ -26,39 +23,16 @@
 const COPY_AT: f64 = 0.5; // share of the aim after which a fleet's mixer sends a second copy
 const KEPT_FOR_FAILURES: f64 = 0.5; // share of the attempt ration that lateness leaves for failures
 const SILENCE: f64 = 2.0; // overdue times without an answer that bar
-const FAILURES_TO_BAR: u32 = 3; // a broken connection or silence counts as so many
-const TRIALS_TO_CLEAR: u32 = 2; // trial parts served in a row that end a bar
-const TRIAL: (f64, f64) = (0.4, 4.0); // first wait for a trial part of what is barred (aims), and longest (s)
 const PARTING: f64 = 0.85; // share of the drain grace in which last holders that drain are still used
 const CROSSING: f64 = 4.0; // mixers beyond which one is a small part of the load
 const COLD_MARGIN: f64 = 0.9; // share of what would push a cold replica over that we may give it
 const RATE_S: f64 = 8.0; // window over which the aggregator's own sending rate is taken (seconds)
-const WARY_S: f64 = 30.0; // deadly queries are remembered, and all others scouted, for so long
-const IDLE_S: f64 = 0.25; // a connection unused for longer is idle
-const IDLE_LOSS: (f64, f64) = (0.1, 0.15); // step of the running share lost, and from when it is believed
 const SCOUT: f64 = 0.5; // usual latencies that a scout is waited for at most
 const SUM_SLACK: f64 = 0.00005; // weights of a step add up to 1 but for rounding
 const TENANT_S: f64 = 10.0; // time constant of what a tenant asks
+const ROUNDING_S: f64 = 1e-6; // sums of times may be so far off
 const SWEEP: u64 = 1; // the only timer
 
-/// What is barred gets a single trial part at a time.
-impl Bar {
-    fn failed(&mut self, now: f64, aim: f64, weight: u32) {
-        self.failures += weight;
-        self.wait = if self.until.is_some() { (self.wait * 2.0).min(TRIAL.1) } else { TRIAL.0 * aim };
-        if self.failures >= FAILURES_TO_BAR {
-            (self.until, self.failures) = (Some(now + self.wait), TRIALS_TO_CLEAR);
-        }
-    }
-
-    fn succeeded(&mut self) {
-        self.failures = self.failures.saturating_sub(1);
-        if self.failures == 0 {
-            self.until = None;
-        }
-    }
-}
-
 /// The decisions of one mixer. See the crate's page for how to drive it.
 pub struct Aggregator {
     cfg: Settings,
@@ -70,7 +44,8 @@
     cells: Vec<Vec<ReplicaId>>, // replicas by cell, how many there are, and what they take on average
     present: usize,
     pace: Pace,
-    alarmed: bool, // a replica or lane may have been barred since the last sweep
+    alarmed: bool,  // a replica or lane may have been barred since the last sweep
+    ejections: u64, // how often what is barred has changed
     jam: Jam,
     readings: Schedule<(ReplicaId, usize)>, // when each lane's interval is over
     lots: Schedule<ReplicaId>,              // when each replica's luck is drawn anew
@@ -81,10 +56,8 @@
     pub(crate) past: Past,
     kept_s: f64,            // how long these times are kept
     asking: Option<Asking>, // where the list comes only to those who ask
-    wary_until: f64,
-    idle_loss: f64,                         // running share of parts lost on idle connections
-    reap: (f64, f64), // idle time from which parts are lost, and until when that is believed
-    deadly: BTreeMap<Likeness, (f64, u32)>, // when one last took replicas down, and how many first tries did
+    idle_losses: IdleLosses,
+    convictions: Convictions<Likeness>,
 }
 
 impl Aggregator {
@@ -101,6 +74,7 @@
             present: 1,
             pace: Pace::default(),
             alarmed: false,
+            ejections: 0,
             jam: Jam::new(MOST_REFUSED * TOKENS),
             readings: Schedule::default(),
             lots: Schedule::default(),
@@ -117,10 +91,8 @@
                 ..Past::default()
             },
             asking: settings.must_ask.then(|| Asking::new(settings.aggregators, settings.ask_within_s, now)),
-            wary_until: now,
-            idle_loss: 0.0,
-            reap: (f64::INFINITY, now),
-            deadly: BTreeMap::new(),
+            idle_losses: IdleLosses::new(now),
+            convictions: Convictions::new(now),
             cfg: settings,
         }
     }
@@ -287,6 +259,7 @@
 
     /// What falls due at each replica, and the sum of latencies, from what is known of all.
     fn look_ahead(&mut self) {
+        self.ejections += 1;
         (self.lots, self.readings) = Default::default();
         for (id, replica) in &self.replicas {
             self.lots.put(replica.luck_until, *id);
@@ -325,12 +298,35 @@
             replica.known.lanes = carried(&before, &replica.known.lanes, |_| Lane::new(self.now));
         }
         self.past.asked = carried(tenants, &self.past.asked, |_| (0.0, self.now));
-        self.deadly.clear(); // it is known by places that have changed
+        self.convictions.forget_fingerprints(); // they are known by places that have changed
         let shortest = new.classes.iter().map(|class| class.aim_s).fold(1.0, f64::min);
         self.sweep_s = new.tick_s.max(shortest / 100.0);
         self.kept_s = new.budget.map_or(RATE_S, |budget| RATE_S.max(2.0 * budget.span_s));
         self.cfg = Settings { classes, ..new };
         self.take_list(false, &[]); // who holds a shard may have changed
+        self.recount();
+    }
+
+    /// The progress of all queries anew: cells may have changed.
+    fn recount(&mut self) {
+        let cells = self.cfg.cells;
+        let mut parts = Vec::new();
+        for query in self.queries.values_mut() {
+            query.progress = Progress::default();
+            for part in query.parts.iter().map(|id| &self.parts[id]) {
+                query.progress.push(part.weight, cell_of(part.shard, cells));
+            }
+            parts.extend(&query.parts);
+        }
+        parts.into_iter().for_each(|part| self.recount_part(part));
+    }
+
+    /// Where a part stands is counted anew: after each change of it.
+    fn recount_part(&mut self, id: PartId) {
+        let part = &self.parts[&id];
+        let Some(query) = part.query.and_then(|query| self.queries.get_mut(&query)) else { return };
+        let barred = |replica: ReplicaId, lane| self.replicas.get(&replica).is_some_and(|it| it.barred(lane));
+        query.progress.set(part.place, part.state(|attempt| barred(attempt.replica, attempt.lane)));
     }
 
     fn take_query(&mut self, new: NewQuery, out: &mut Vec<Action>) {
@@ -384,16 +380,19 @@
         if self.parts.contains_key(&new.id) || query.parts.len() >= query.expected {
             return;
         }
+        let place = query.parts.len();
         query.parts.push(new.id);
         query.likeness.3.push(new.shard);
         let weight = if new.weight.is_finite() { new.weight.max(0.0) } else { 0.0 };
+        query.progress.push(weight, cell_of(new.shard, self.cfg.cells));
         let (class, wanted) = (query.class, query.second_step);
         let complete = query.parts.len() == query.expected;
         let work = new.cost_hint_s.filter(|work| *work > 0.0 && work.is_finite());
         let most = self.cfg.max_attempts as usize;
         let (query, shard) = (Some(id), new.shard);
-        let part = Part { query, class, shard, weight, work, wanted, most, ..Part::default() };
+        let part = Part { query, place, class, shard, weight, work, wanted, most, ..Part::default() };
         self.parts.insert(new.id, part);
+        self.recount_part(new.id);
         if wanted {
             self.send(new.id, out);
         } else if complete {
@@ -413,19 +412,23 @@
         let affordable = |offer: &(PartId, Option<f64>)| offer.1.is_some_and(|price| price <= tokens);
         let chosen: Vec<PartId> = offers.into_iter().filter(affordable).map(|(part, _)| part).collect();
         let bought: f64 = chosen.iter().map(|part| self.parts[part].weight).sum();
-        if bought + SUM_SLACK < self.cfg.classes[class].floor || tokens < jam || self.is_deadly(query) {
+        if bought + SUM_SLACK < self.cfg.classes[class].floor || tokens < jam || self.is_convicted(query) {
             return self.refuse(id, price.max(jam), out);
         }
-        let scouted = chosen.len() > 1 && self.now < self.wary_until;
+        let scouted = chosen.len() > 1 && self.convictions.is_cautious(self.now);
         self.queries.get_mut(&id).expect("looked up above").scouted_from = scouted.then_some(self.now);
-        for part in &chosen {
-            self.parts.get_mut(part).expect("chosen parts are held").wanted = true;
-        }
+        chosen.iter().for_each(|part| self.want(*part));
         for part in chosen.into_iter().take(if scouted { 1 } else { usize::MAX }) {
             self.send(part, out);
         }
     }
 
+    /// A part is wanted from now on.
+    fn want(&mut self, id: PartId) {
+        self.parts.get_mut(&id).expect("wanted parts are held").wanted = true;
+        self.recount_part(id);
+    }
+
     /// What a replica asks of a query: its price, or as much as its foreseen latency nears the time there is.
     /// Guards, where answers are few, against the time that prices need. Some pass: it can't lock shut.
     fn asks(&self, replica: &Replica, query: &Query) -> f64 {
@@ -439,8 +442,8 @@
 
     /// Tells the client that asking again does no harm, and when the price will have fallen at the latest.
     fn refuse(&mut self, id: QueryId, price: f64, out: &mut Vec<Action>) {
-        let fall_s = EMPTY.0 * self.queries.get(&id).map_or(0.0, |query| self.cfg.classes[query.class].aim_s);
-        let retry_after_s = (price / FALL * fall_s).max(COME_BACK_S).min(self.cfg.retry_after_s);
+        let aim_s = self.queries.get(&id).map_or(0.0, |query| self.cfg.classes[query.class].aim_s);
+        let retry_after_s = fallen_in_s(price, aim_s).max(COME_BACK_S).min(self.cfg.retry_after_s);
         out.push(Action::Refuse { query: id, retry_after_s });
         self.end_query(id, out);
     }
@@ -492,7 +495,7 @@
         let usual = self.past.latencies[ahead.unwrap_or(query.class)].usual;
         let scouting = |since: f64| self.now < since + SCOUT * usual;
         let held = !query.harmless && query.scouted_from.is_some_and(scouting);
-        held && query.parts.iter().any(|part| self.parts[part].out().next().is_some())
+        held && query.progress.is_in_flight()
     }
 
     /// A connection broke under a part: the query is suspect, and one part goes ahead. A break under one sent
@@ -500,10 +503,7 @@
     fn convict(&mut self, id: QueryId, sent_at: f64, out: &mut Vec<Action>) {
         let Some(query) = self.queries.get_mut(&id).filter(|query| !query.harmless) else { return };
         if query.broke_at.is_some_and(|at| sent_at >= at) {
-            self.deadly.retain(|_, (at, _)| self.now < *at + WARY_S);
-            let deadly = self.deadly.entry(query.likeness.clone()).or_default();
-            *deadly = (self.now, deadly.1 + u32::from(!query.repeat));
-            self.wary_until = self.now + WARY_S;
+            self.convictions.convict(self.now, &query.likeness, query.repeat);
             out.push(Action::Fail { query: id });
             return self.end_query(id, out);
         }
@@ -512,9 +512,8 @@
 
     /// Repeats of a convicted query, and first tries once a second one of that likeness was convicted, are
     /// refused. Harm: sound queries about the same key wait for as long.
-    fn is_deadly(&self, query: &Query) -> bool {
-        let deadly = self.deadly.get(&query.likeness).filter(|(at, _)| self.now < at + WARY_S);
-        deadly.is_some_and(|(_, convicted)| query.repeat || *convicted > 1)
+    fn is_convicted(&self, query: &Query) -> bool {
+        self.convictions.is_convicted(self.now, &query.likeness, query.repeat)
     }
 
     /// Replicas that hold a shard and that the rules let us send to now. Barred ones are left out, unless
@@ -569,11 +568,10 @@
             return 1.0;
         }
         let (cells, reach) = (self.cfg.cells, self.cfg.reach);
-        let held = |shard: u32| (replica.entry.cell + cells - shard % cells) % cells < reach;
+        let held = (0..reach.min(cells)).map(|step| (replica.entry.cell + cells - step) % cells);
         let query = part.query.and_then(|query| self.queries.get(&query));
-        let parts = query.into_iter().flat_map(|query| &query.parts).map(|id| &self.parts[id]);
-        let follow = parts.filter(|other| other.wanted && other.attempts.is_empty() && held(other.shard));
-        let sharing = follow.count().clamp(1, self.cfg.call_parts as usize) as f64;
+        let follow = query.map_or(0, |query| query.progress.untried(held));
+        let sharing = follow.clamp(1, self.cfg.call_parts as usize) as f64;
         let work = part.work.unwrap_or(self.past.latencies[part.class].usual);
         (work + if joins { 0.0 } else { call / sharing }) / (work + call)
     }
@@ -656,7 +654,7 @@
         let replica = &self.replicas[&target];
         let unused = replica.used_at.filter(|_| replica.out == 0);
         let mut idle = unused.map_or(0.0, |at| self.now - at);
-        let reaped = self.now < self.reap.1 && idle >= 0.8 * self.reap.0;
+        let reaped = self.idle_losses.is_likely_lost(self.now, idle);
         // A box that failed fast has answered: its connection is sound, and a new one costs it a handshake.
         let silent = replica.barred(class) && !replica.answers;
         if idle > 0.0 && (reaped || query.broke_at.is_some() || silent) {
@@ -673,6 +671,7 @@
         let attempt =
             Attempt { replica: target, sent_at: self.now, lane, idle, beside, ..Attempt::default() };
         self.parts.get_mut(&id).expect("looked up above").attempts.push(attempt);
+        self.recount_part(id);
         if ahead.is_none() {
             self.attempted(self.now, again); // what asks ahead is light, and no measure of what boxes bear
         }
@@ -715,31 +714,54 @@
         (self.past.latencies[class].late * OVERDUE).min(self.cfg.classes[class].aim_s)
     }
 
+    /// Parts for which something may be due, by place: with nothing in flight, or with one attempt for long.
+    fn due_parts(&self, query: &Query) -> Vec<PartId> {
+        let mut due: Vec<usize> = query.progress.pending().map(|(place, _)| place).collect();
+        let is_braked = due.is_empty() && self.is_braked();
+        let ahead = query.ahead.map(|ahead| (true, ahead.class.into()));
+        for (ahead, lane) in ahead.into_iter().chain([(false, query.class)]).filter(|_| !is_braked) {
+            let overdue = self.overdue_s(lane);
+            for (ejected, age) in [(false, overdue.max(self.patience_s(query.class))), (true, overdue / 2.0)]
+            {
+                let limit = self.now - age + ROUNDING_S;
+                due.extend(query.progress.sent_by(Group { ahead, ejected }, limit));
+            }
+        }
+        due.sort_unstable();
+        due.into_iter().map(|place| query.parts[place]).collect()
+    }
+
+    /// Whether no part gets another attempt for lateness now.
+    fn is_braked(&self) -> bool {
+        self.past.copies < 1.0 || !self.within_ration(1.0 - KEPT_FOR_FAILURES)
+    }
+
+    /// In a fleet a copy waits while it can be in time: those of all mixers jam a box's neighbours.
+    fn patience_s(&self, class: usize) -> f64 {
+        COPY_AT * (1.0 - self.alone()) * self.cfg.classes[class].aim_s
+    }
+
     /// Looks after a part that has no answer: again after a failure; when it is overdue a spare, a second
     /// copy, or where two may not be out, a recall from where all are barred.
-    /// Says since when it has been out, where nothing but time or an answer brings it any further.
-    fn tend_part(&mut self, id: PartId, out: &mut Vec<Action>) -> Option<f64> {
+    /// Says whether nothing but time or an answer brings it any further.
+    fn tend_part(&mut self, id: PartId, out: &mut Vec<Action>) -> bool {
         let part = &self.parts[&id];
         let held_back = part.query.is_some_and(|query| self.held_back(&self.queries[&query]));
         if part.answered || !part.wanted || held_back {
-            return (!held_back).then_some(f64::MAX);
+            return !held_back;
         }
         let flights: Vec<(usize, Attempt)> = part.out().map(|(number, attempt)| (number, *attempt)).collect();
         let Some((number, first)) = flights.first().copied() else {
             if !part.turned_away() || self.worth_another(id, true) {
                 self.send(id, out);
             }
-            return None;
+            return false;
         };
         let (age, overdue) = (self.now - first.sent_at - first.excused, self.overdue_s(first.lane));
         let barred = self.replicas.get(&first.replica).is_some_and(|replica| replica.barred(first.lane));
-        // In a fleet a copy waits while it can be in time: those of all mixers jam a box's neighbours.
-        let patience = COPY_AT * (1.0 - self.alone()) * self.cfg.classes[part.class].aim_s;
-        let due = age >= if barred { overdue / 2.0 } else { overdue.max(patience) };
-        let braked = self.past.copies < 1.0 || !self.within_ration(1.0 - KEPT_FOR_FAILURES);
-        if flights.len() > 1 || first.cancelled || !due || braked {
-            let later = if flights.len() > 1 || first.cancelled { f64::MAX } else { first.sent_at };
-            return (!barred).then_some(later);
+        let due = age >= if barred { overdue / 2.0 } else { overdue.max(self.patience_s(part.class)) };
+        if flights.len() > 1 || first.cancelled || !due || self.is_braked() {
+            return !barred;
         }
         let (safe, query) = (self.safe(part.class), part.query);
         let left = part.attempts.len() < part.most && !self.cfg.second_copies;
@@ -748,13 +770,14 @@
         } else if barred && age > overdue && safe && left && self.cfg.cancel && self.worth_another(id, false)
         {
             self.parts.get_mut(&id).expect("held").attempts[number].cancelled = true;
+            self.recount_part(id);
             out.push(Action::Cancel { part: id, attempt: number as u8 });
             true
         } else {
             self.cfg.second_copies && self.worth_another(id, false) && self.send(id, out)
         };
         self.past.copies -= f64::from(u8::from(done));
-        None
+        false
     }
 
     fn safe(&self, class: usize) -> bool {
@@ -781,7 +804,7 @@
         let spares = self.cfg.classes[query.class].need < 1.0;
         let spare = query.parts.iter().find(|id| spares && !self.parts[id].wanted).copied();
         let Some(spare) = spare else { return false };
-        self.parts.get_mut(&spare).expect("held").wanted = true;
+        self.want(spare);
         self.send(spare, out)
     }
 
@@ -797,8 +820,9 @@
         part.answered |= end.outcome == Outcome::Ok;
         let (class, query, answered) = (part.class, part.query, part.answered);
         let others: Vec<usize> = part.out().map(|(number, _)| number).collect();
-        if query.is_none() && others.is_empty() {
-            self.parts.remove(&end.part);
+        match query {
+            None if others.is_empty() => drop(self.parts.remove(&end.part)),
+            _ => self.recount_part(end.part),
         }
         self.learn(&attempt, class, took, end.outcome);
         let Some(query) = query else { return };
@@ -839,13 +863,7 @@
             return;
         }
         let need = if query.second_step { 1.0 } else { class.need };
-        let (mut share, mut reachable) = (0.0, 0.0);
-        let bought = |part: &Part| part.wanted || need < 1.0;
-        let alive = |part: &Part| bought(part) && (part.out().count() > 0 || self.may_repeat(part));
-        for part in query.parts.iter().map(|id| &self.parts[id]) {
-            share += if part.answered { part.weight } else { 0.0 };
-            reachable += if part.answered || alive(part) { part.weight } else { 0.0 };
-        }
+        let (share, reachable) = (share(query.progress.answered()), self.reachable(query, need < 1.0));
         let can_answer = share > 0.0 && share + SUM_SLACK >= class.floor && class.floor < class.need;
         if arrived && share + SUM_SLACK >= need {
             return self.answer(id, !query.second_step || query.first_was_whole, out);
@@ -857,15 +875,37 @@
         if give_up || reachable + SUM_SLACK < class.floor {
             return self.give_up(id, out);
         }
-        let (parts, until) = (query.parts.clone(), self.answer_in_part_at(query).min(self.give_up_at(query)));
-        // Calm is a query of which every part is out: only time or an answer brings it any further.
-        let mut oldest = Some(f64::MAX);
-        for part in parts {
-            oldest = self.tend_part(part, out).zip(oldest).map(|(at, oldest)| oldest.min(at));
+        let until = self.answer_in_part_at(query).min(self.give_up_at(query));
+        self.recount_ejected(id);
+        let mut calm = true;
+        for part in self.due_parts(&self.queries[&id]) {
+            calm &= self.tend_part(part, out);
         }
+        // Calm is a query of which every part is out: only time or an answer brings it any further.
+        let query = &self.queries[&id];
+        let oldest = query.progress.oldest().filter(|_| calm && !self.held_back(query));
         self.queries.get_mut(&id).expect("looked up above").calm = oldest.map(|oldest| (until, oldest));
     }
 
+    /// The share that is answered, or may be as things are.
+    fn reachable(&self, query: &Query, with_spares: bool) -> f64 {
+        let progress = &query.progress;
+        let alive = |place: &usize| self.may_repeat(&self.parts[&query.parts[*place]]);
+        let pending = progress.pending().filter(|(place, _)| alive(place)).map(|(_, weight)| weight);
+        let spare = if with_spares { progress.spare() } else { 0 };
+        share(progress.answered() + progress.in_flight() + pending.sum::<u128>() + spare)
+    }
+
+    /// Which parts are out at a barred replica, where that has changed since it was last asked.
+    fn recount_ejected(&mut self, id: QueryId) {
+        let query = self.queries.get_mut(&id).expect("only open queries are looked after");
+        if std::mem::replace(&mut query.ejections, self.ejections) != self.ejections {
+            let parts: Vec<PartId> =
+                query.progress.places_in_flight().into_iter().map(|place| query.parts[place]).collect();
+            parts.into_iter().for_each(|part| self.recount_part(part));
+        }
+    }
+
     /// Answers; the first answer of a class with a second step opens that step.
     fn answer(&mut self, id: QueryId, whole: bool, out: &mut Vec<Action>) {
         out.push(Action::Answer { query: id, whole });
@@ -892,6 +932,7 @@
     /// Calls off what is out of a step that is over; parts stay known until their attempts have ended.
     fn drop_parts(&mut self, id: QueryId, out: &mut Vec<Action>) {
         let Some(query) = self.queries.get_mut(&id) else { return };
+        query.progress = Progress::default();
         for id in std::mem::take(&mut query.parts) {
             let part = self.parts.get_mut(&id).expect("parts of open queries are held");
             part.query = None;
@@ -917,19 +958,10 @@
             Outcome::Ok | Outcome::Matches => {
                 all.add(took);
                 replica.known.failing -= SMOOTHING * replica.known.failing;
-                // Many lost on idle connections, then served on a new one: idle ones are dropped unseen.
-                let confirmed = replica.lost_idle.take().filter(|_| attempt.idle == 0.0);
-                if let Some(idle) = confirmed.filter(|_| self.idle_loss > IDLE_LOSS.1) {
-                    let before = if now < self.reap.1 { self.reap.0 } else { f64::INFINITY };
-                    self.reap = (before.min(idle), now + WARY_S);
-                }
-                if attempt.idle > IDLE_S {
-                    self.idle_loss -= IDLE_LOSS.0 * self.idle_loss;
-                }
+                self.idle_losses.served(now, attempt.idle, replica.lost_idle.take());
                 let least = lane.least.min(took);
                 (lane.least, lane.heard_at) = (least, now);
-                lane.bar.succeeded();
-                replica.known.bar.succeeded();
+                self.ejections += u64::from(lane.bar.succeeded() | replica.known.bar.succeeded());
                 // A word tells the queue: an answer in full would have taken as much longer than its least.
                 let in_full = replica.known.lanes[class].least + took - least;
                 let in_full = if at == class { took } else { in_full };
@@ -949,7 +981,7 @@
                 let silent = lane.heard_at < attempt.sent_at && took > overdue;
                 if outcome == Outcome::TimedOut || silent {
                     self.alarmed = true;
-                    lane.bar.failed(now, aim, 1);
+                    self.ejections += u64::from(lane.bar.failed(now, aim, 1));
                 }
                 let slower = took.min(aim) / self.pace.average;
                 if replica.known.slower.is_none_or(|known| slower > known) {
@@ -959,19 +991,20 @@
             }
             Outcome::ConnectFailed | Outcome::Reset => {
                 self.alarmed = true;
-                return replica.known.bar.failed(now, aim, FAILURES_TO_BAR);
+                self.ejections += u64::from(replica.known.bar.failed(now, aim, FAILURES_TO_EJECT));
+                return;
             }
             Outcome::Error => {
                 replica.known.failing += SMOOTHING * (1.0 - replica.known.failing);
                 (replica.known.heard_at, self.alarmed) = (now, true);
-                return lane.bar.failed(now, aim, 1);
+                self.ejections += u64::from(lane.bar.failed(now, aim, 1));
+                return;
             }
             Outcome::Moot => return,
         };
         let lane = &mut replica.known.lanes[at];
         let over_at = lane.over_at(aim);
-        lane.recent.rotate_left(1);
-        lane.recent[ANSWERS_A_READING - 1] = (now, delay);
+        lane.add_delay(now, delay);
         if lane.over_at(aim) != over_at {
             self.readings.put(lane.over_at(aim), (attempt.replica, at));
         }
@@ -996,15 +1029,15 @@
                     limits[attempt.lane].max(2.0 * self.pace.average * replica.known.slower.unwrap_or(0.0));
                 if !attempt.silent && self.now - sent_at > limit {
                     attempt.silent = true;
-                    lane.bar.failed(self.now, aim, if lane.heard_at > sent_at { 1 } else { FAILURES_TO_BAR });
-                    if replica.known.heard_at <= sent_at && attempt.idle > IDLE_S {
-                        self.idle_loss += IDLE_LOSS.0 * (1.0 - self.idle_loss);
+                    let weight = if lane.heard_at > sent_at { 1 } else { FAILURES_TO_EJECT };
+                    self.ejections += u64::from(lane.bar.failed(self.now, aim, weight));
+                    if replica.known.heard_at <= sent_at && self.idle_losses.lost(attempt.idle) {
                         replica.lost_idle = Some(attempt.idle);
                     }
                 }
                 if self.now - replica.known.heard_at.max(sent_at) > limit && replica.known.bar.until.is_none()
                 {
-                    replica.known.bar.failed(self.now, aim, FAILURES_TO_BAR);
+                    self.ejections += u64::from(replica.known.bar.failed(self.now, aim, FAILURES_TO_EJECT));
                 }
             }
         }
@@ -1034,37 +1067,7 @@
     }
 }
 
-impl Lane {
-    /// Whether there are answers enough for a reading.
-    fn readable(&self) -> bool {
-        self.recent[0].0 > self.since
-    }
-
-    /// When its interval is over: sooner where a reading can be taken.
-    fn over_at(&self, aim: f64) -> f64 {
-        let heard = self.recent[ANSWERS_A_READING - 1].0 > self.since;
-        let unread = aim * if heard { EMPTY.1 } else { EMPTY.0 };
-        self.since + if self.readable() { INTERVAL_S } else { unread }
-    }
-
-    /// The end of an interval moves the price: a proportional rise, a one-token fall. Some queries always
-    /// pass: where none do, no answer ever tells that it may fall.
-    fn read(&mut self, now: f64, aim: f64) {
-        if now < self.over_at(aim) {
-            return;
-        }
-        let threshold = THRESHOLD * aim;
-        let lowest = || self.recent.iter().map(|(_, delay)| *delay).fold(f64::MAX, f64::min);
-        let delay = if self.readable() { lowest() } else { 0.0 };
-        let rise = (RISE.0 * (delay - threshold) / threshold).clamp(0.0, RISE.1);
-        let fall = if delay < threshold / 2.0 { FALL } else { 0.0 };
-        (self.since, self.price) = (now, (self.price + rise - fall).clamp(0.0, MOST_REFUSED * TOKENS));
-    }
-}
-
-impl Replica {
-    fn heard(&mut self, now: f64, slower: f64) {
-        let before = self.known.slower.unwrap_or(slower);
-        (self.known.slower, self.known.heard_at) = (Some(before + SMOOTHING * (slower - before)), now);
-    }
+/// The cell at which a shard begins.
+fn cell_of(shard: u32, cells: u32) -> u32 {
+    shard.checked_rem(cells).unwrap_or(0)
 }
--- a/src/times.rs
+++ b/src/times.rs
@@ -3,6 +3,7 @@
 //! This file owns how such times are kept, added and counted at a cost that does not grow with their number.
 //! It must never say what they mean, and never read a clock.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 /// What no longer counts is dropped once it is this share of what is kept.
@@ -10,6 +11,30 @@
 /// Sums of times may be so far off (seconds).
 const ROUNDING_S: f64 = 1e-6;
 
+/// A time that can stand in an ordered structure.
+#[derive(Clone, Copy, Debug)]
+pub struct Moment(pub f64);
+
+impl PartialEq for Moment {
+    fn eq(&self, other: &Moment) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Moment {}
+
+impl PartialOrd for Moment {
+    fn partial_cmp(&self, other: &Moment) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Moment {
+    fn cmp(&self, other: &Moment) -> Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
 /// Adds a time, and drops of those up to `kept_from` once they are many.
 pub fn add(times: &mut Vec<f64>, at: f64, kept_from: f64) {
     if times.last().is_none_or(|last| *last <= at) {
