--- a/src/choices/mod.rs
+++ b/src/choices/mod.rs
@@ -2,8 +2,13 @@
 
 pub mod backoff;
 pub mod connections;
+pub mod crashes;
+pub mod ejection;
 pub mod heartbeat;
 pub mod idle;
+pub mod idle_loss;
 pub mod jam;
 pub mod phases;
+pub mod price;
+pub mod progress;
 pub mod watch_schedule;
