--- a/crates/wharfhub-lab/src/experiments/mod.rs
+++ b/crates/wharfhub-lab/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 mod decisions;
 mod deployments;
+mod scale;
 mod two_phase;
 
 use crate::report::ReportError;
@@ -21,6 +22,8 @@
     pub out: PathBuf,
     /// On sockets, against the daemon.
     pub real: bool,
+    /// Only this part, where it has parts.
+    pub part: Option<String>,
 }
 
 /// Why an experiment has no result.
@@ -32,6 +35,9 @@
     /// Its result can't be shown.
     #[error(transparent)]
     Report(#[from] ReportError),
+    /// Its fleet can't be had.
+    #[error(transparent)]
+    Fleet(#[from] crate::fleet::FleetError),
     /// The system.
     #[error("{0}")]
     Io(#[from] std::io::Error),
@@ -54,7 +60,7 @@
 }
 
 /// All of them.
-pub const ALL: [Experiment; 3] = [
+pub const ALL: [Experiment; 4] = [
     Experiment {
         name: "decisions",
         what: "the CPU of a decision, by rate and by number of boxes",
@@ -65,6 +71,11 @@
         what: "both kinds of deployment on quiet days and with each of their troubles",
         run: deployments::run,
     },
+    Experiment {
+        name: "scale",
+        what: "memory, CPU, messages and time for a change by mixers, servers and changes a second",
+        run: scale::run,
+    },
     Experiment {
         name: "two-phase",
         what: "work saved and service kept with queries in two phases, on and off side by side",
--- /dev/null
+++ b/crates/wharfhub-lab/src/experiments/scale.rs
@@ -0,0 +1,480 @@
+//! The scale experiment: slopes over mixers, servers and changes a second, with one size kept out of each fit and
+//! predicted, and the events of a year on a fleet in two regions.
+//!
+//! The verdict of the full run rests on predictions and on what came into force; that of the quick run on counts
+//! alone (calls, messages, bytes, whole lists), never on a time.
+
+use super::{Failure, Options, Verdict};
+use crate::fleet::bench::{Bench, Load, Point};
+use crate::fleet::events::{CompressedDay, EventBench, EventOutcome};
+use crate::fleet::fit::LineFit;
+use crate::report::{chart, Estimate, Line, Table};
+use std::path::{Path, PathBuf};
+
+/// A prediction may miss what was measured by this share.
+const MAX_PREDICTION_ERROR: f64 = 0.25;
+/// Host processes of a fleet.
+const PROCESSES: u32 = 8;
+/// Memory that a fleet may hold: half of this machine's (bytes).
+const MAX_MEMORY_BYTES: f64 = 11e9;
+/// The size to plan with.
+const FULL_SIZE: (u32, u32) = (860, 5_300);
+/// A change is to be in force everywhere within this time (seconds).
+const MAX_IN_FORCE_S: f64 = 10.0;
+
+/// The sizes of a run.
+struct Plan {
+    mixers: [u32; 5],     // the last one is kept out
+    servers: [u32; 5],    // the last one is kept out
+    rates: [f64; 5],      // changes a second; the last one is kept out
+    standard: (u32, u32), // mixers for the slope over servers, servers for the slope over mixers
+    full: Option<(u32, u32)>,
+    events: (u32, u32),
+    day: CompressedDay,
+    changes: u32,
+    in_step: bool,
+    idle_s: f64,
+    rate_s: f64,
+    ask_within_s: f64,
+}
+
+impl Plan {
+    fn full() -> Plan {
+        Plan {
+            mixers: [50, 100, 215, 430, 860],
+            servers: [200, 660, 1_325, 2_650, 5_300],
+            rates: [1.0, 2.0, 4.0, 8.0, 16.0],
+            standard: (100, 660),
+            full: Some(FULL_SIZE),
+            events: FULL_SIZE,
+            day: CompressedDay { changes: 150, per_s: 10.0 },
+            changes: 12,
+            in_step: false,
+            idle_s: 3.0,
+            rate_s: 4.0,
+            ask_within_s: 8.0,
+        }
+    }
+
+    fn quick() -> Plan {
+        Plan {
+            mixers: [8, 16, 24, 32, 64],
+            servers: [50, 100, 200, 400, 800],
+            rates: [2.0, 4.0, 6.0, 8.0, 16.0],
+            standard: (16, 100),
+            full: None,
+            events: (40, 200),
+            day: CompressedDay { changes: 40, per_s: 20.0 },
+            changes: 4,
+            in_step: true,
+            idle_s: 0.2,
+            rate_s: 1.0,
+            ask_within_s: 1.0,
+        }
+    }
+
+    fn load(&self, mixers: u32, servers: u32) -> Load {
+        Load {
+            mixers,
+            servers,
+            changes_per_s: 4.0,
+            changes: self.changes,
+            in_step: self.in_step,
+            idle_s: self.idle_s,
+            // Half of a fleet's idle work is its rounds; at the shortest round 860 mixers would fill eight cores.
+            round_s: 0.05,
+            ask_within_s: self.ask_within_s,
+        }
+    }
+}
+
+/// Takes a figure from a point.
+type FigureOf = fn(&Point) -> f64;
+
+/// A figure of a point whose slope is looked for.
+struct Quantity {
+    role: &'static str,
+    name: &'static str,
+    /// Whether it is a count, which a busy machine does not change.
+    is_count: bool,
+    of: FigureOf,
+}
+
+const fn counted(role: &'static str, name: &'static str, of: FigureOf) -> Quantity {
+    Quantity { role, name, is_count: true, of }
+}
+
+const fn timed(role: &'static str, name: &'static str, of: FigureOf) -> Quantity {
+    Quantity { role, name, is_count: false, of }
+}
+
+fn changes(point: &Point) -> f64 {
+    f64::from(point.load.changes)
+}
+
+fn mixers(point: &Point) -> f64 {
+    f64::from(point.load.mixers)
+}
+
+/// How long changes were made (seconds).
+fn changing_s(point: &Point) -> f64 {
+    changes(point) / point.load.changes_per_s
+}
+
+/// A change reaches a mixer as one answer, and the mixer asks again: two messages. Renewals of watches come beside them.
+fn change_messages(point: &Point) -> f64 {
+    2.0 * point.change.change_answers as f64
+}
+
+fn change_bytes(point: &Point) -> f64 {
+    let call_bytes = point.change.bytes_in as f64 / point.change.calls.max(1) as f64;
+    point.change.change_bytes as f64 + point.change.change_answers as f64 * call_bytes
+}
+
+const BY_MIXERS: [Quantity; 8] = [
+    timed("mixers", "memory, all (MB)", |point| point.memory_bytes / 1e6),
+    timed("mixers", "CPU for a change, all (ms)", |point| point.change_cpu_s * 1e3),
+    timed("mixers", "idle CPU, all (cores)", |point| point.idle_cores),
+    counted("discovery", "messages for a change", |point| change_messages(point) / changes(point)),
+    counted("discovery", "bytes for a change", |point| change_bytes(point) / changes(point)),
+    counted("discovery", "bytes at the start (MB)", |point| point.start.bytes_out as f64 / 1e6),
+    timed("discovery", "CPU for a change (ms)", |point| point.discovery_change_cpu_s * 1e3),
+    timed("fleet", "change in force, median (ms)", |point| point.propagation.median_s * 1e3),
+];
+
+const BY_SERVERS: [Quantity; 6] = [
+    timed("mixers", "memory, each (MB)", |point| point.memory_bytes / mixers(point) / 1e6),
+    timed("mixers", "CPU for a change, each (ms)", |point| point.change_cpu_s / mixers(point) * 1e3),
+    timed("mixers", "CPU to take the list, each (ms)", |point| point.start_cpu_s / mixers(point) * 1e3),
+    timed("mixers", "idle CPU, each (% of a core)", |point| point.idle_cores / mixers(point) * 100.0),
+    counted("discovery", "bytes of the whole list (kB)", |point| {
+        point.start.bytes_out as f64 / point.start.whole_lists.max(1) as f64 / 1e3
+    }),
+    timed("fleet", "change in force, median (ms)", |point| point.propagation.median_s * 1e3),
+];
+
+const BY_RATE: [Quantity; 4] = [
+    timed("mixers", "CPU for changes, each (% of a core)", |point| {
+        point.change_cpu_s * point.load.changes_per_s / mixers(point) * 100.0
+    }),
+    counted("mixers", "messages a second, each", |point| {
+        change_messages(point) / changing_s(point) / mixers(point)
+    }),
+    counted("mixers", "bytes a second, each", |point| {
+        change_bytes(point) / changing_s(point) / mixers(point)
+    }),
+    timed("discovery", "CPU for changes (% of a core)", |point| {
+        point.discovery_change_cpu_s * point.load.changes_per_s * 100.0
+    }),
+];
+
+/// One axis: its points in order, the last of them kept out of the fits.
+struct Axis {
+    name: &'static str,
+    x: FigureOf,
+    quantities: &'static [Quantity],
+    points: Vec<Point>,
+}
+
+fn measure(options: &Options, load: &Load) -> Result<Point, Failure> {
+    let mut bench = Bench::start(load, std::env::current_exe()?, PROCESSES, options.seed)?;
+    let point = bench.measure(load)?;
+    let Load { mixers, servers, .. } = load;
+    let Point { start_s, propagation, .. } = point;
+    println!(
+        "measured {mixers} mixers, {servers} servers: started in {start_s:.1} s, a change in {:.3} s",
+        propagation.last_s
+    );
+    Ok(point)
+}
+
+fn by_rate(options: &Options, plan: &Plan) -> Result<Vec<Point>, Failure> {
+    let load = plan.load(plan.standard.0, plan.standard.1);
+    let mut bench = Bench::start(&load, std::env::current_exe()?, PROCESSES, options.seed)?;
+    let at = |changes_per_s: f64| {
+        let changes = (changes_per_s * plan.rate_s).ceil() as u32;
+        bench.measure(&Load { changes_per_s, changes, ..load }).map_err(Failure::from)
+    };
+    plan.rates.into_iter().map(at).collect()
+}
+
+fn axes(options: &Options, plan: &Plan) -> Result<Vec<Axis>, Failure> {
+    let (standard_mixers, standard_servers) = plan.standard;
+    let by_mixers = plan.mixers.map(|mixers| plan.load(mixers, standard_servers));
+    let by_servers = plan.servers.map(|servers| plan.load(standard_mixers, servers));
+    let all = |loads: [Load; 5]| loads.iter().map(|load| measure(options, load)).collect::<Result<_, _>>();
+    Ok(vec![
+        Axis { name: "mixers", x: mixers, quantities: &BY_MIXERS, points: all(by_mixers)? },
+        Axis {
+            name: "servers",
+            x: |point| f64::from(point.load.servers),
+            quantities: &BY_SERVERS,
+            points: all(by_servers)?,
+        },
+        Axis {
+            name: "changes/s",
+            x: |point| point.load.changes_per_s,
+            quantities: &BY_RATE,
+            points: by_rate(options, plan)?,
+        },
+    ])
+}
+
+fn points_table(axes: &[Axis], full: Option<&Point>) -> Table {
+    let columns = [
+        "axis",
+        "mixers",
+        "servers",
+        "changes/s",
+        "memory MB each",
+        "idle % of a core each",
+        "idle bytes/s each",
+        "idle messages/s each",
+        "list kB",
+        "CPU ms for the list each",
+        "CPU ms a change each",
+        "messages a change",
+        "bytes a change",
+        "discovery CPU ms a change",
+        "start s",
+        "in force median s",
+        "in force p99 s",
+        "in force last s",
+        "not in force",
+    ];
+    let mut table = Table::new(&columns);
+    let full = full.map(|point| ("full size", point));
+    let all = axes.iter().flat_map(|axis| axis.points.iter().map(|point| (axis.name, point)));
+    for (name, point) in all.chain(full) {
+        let each = |value: f64| value / mixers(point);
+        let (idle, idle_s) = point.idle;
+        let Point { load, propagation, .. } = point;
+        table.row(vec![
+            name.into(),
+            load.mixers.to_string(),
+            load.servers.to_string(),
+            load.changes_per_s.to_string(),
+            format!("{:.2}", each(point.memory_bytes) / 1e6),
+            format!("{:.3}", each(point.idle_cores) * 100.0),
+            format!("{:.1}", each(idle.bytes() as f64) / idle_s),
+            format!("{:.3}", each(idle.messages() as f64) / idle_s),
+            format!("{:.1}", point.start.bytes_out as f64 / point.start.whole_lists.max(1) as f64 / 1e3),
+            format!("{:.2}", each(point.start_cpu_s) * 1e3),
+            format!("{:.3}", each(point.change_cpu_s) * 1e3),
+            format!("{:.1}", change_messages(point) / changes(point)),
+            format!("{:.0}", change_bytes(point) / changes(point)),
+            format!("{:.2}", point.discovery_change_cpu_s * 1e3),
+            format!("{:.2}", point.start_s),
+            format!("{:.4}", propagation.median_s),
+            format!("{:.4}", propagation.p99_s),
+            format!("{:.4}", propagation.last_s),
+            propagation.missing.to_string(),
+        ]);
+    }
+    table
+}
+
+/// The fits of all axes; says which predictions miss by too much.
+fn fits_table(axes: &[Axis], counts_only: bool) -> (Table, Vec<String>) {
+    let columns = [
+        "axis",
+        "role",
+        "figure",
+        "base",
+        "slope",
+        "residual %",
+        "size kept out",
+        "predicted",
+        "measured",
+        "error %",
+    ];
+    let (mut table, mut short) = (Table::new(&columns), Vec::new());
+    for axis in axes {
+        let Some((kept_out, fitted)) = axis.points.split_last() else { continue };
+        for quantity in axis.quantities {
+            let points: Vec<(f64, f64)> =
+                fitted.iter().map(|point| ((axis.x)(point), (quantity.of)(point))).collect();
+            let Some(fit) = LineFit::of(&points) else {
+                short.push(format!("no line for {} by {}", quantity.name, axis.name));
+                continue;
+            };
+            let (x, measured) = ((axis.x)(kept_out), (quantity.of)(kept_out));
+            let error = fit.error(x, measured);
+            table.row(vec![
+                axis.name.into(),
+                quantity.role.into(),
+                quantity.name.into(),
+                format!("{:.5}", fit.base),
+                format!("{:.7}", fit.slope),
+                format!("{:.1}", fit.residual * 100.0),
+                x.to_string(),
+                format!("{:.3}", fit.at(x)),
+                format!("{measured:.3}"),
+                format!("{:.1}", error * 100.0),
+            ]);
+            if error > MAX_PREDICTION_ERROR && (quantity.is_count || !counts_only) {
+                let (name, error) = (quantity.name, error * 100.0);
+                short.push(format!("{name} at {x} {} is predicted {error:.0}% off", axis.name));
+            }
+        }
+    }
+    (table, short)
+}
+
+/// What the size to plan with would be by the slopes over servers, against what was measured there.
+fn full_size_table(by_servers: &Axis, full: &Point) -> (Table, Vec<String>) {
+    let mut table = Table::new(&["figure at full size", "predicted", "measured", "error %"]);
+    let mut short = Vec::new();
+    let fitted = &by_servers.points[..by_servers.points.len() - 1];
+    for quantity in &by_servers.quantities[..2] {
+        let points: Vec<(f64, f64)> =
+            fitted.iter().map(|point| ((by_servers.x)(point), (quantity.of)(point))).collect();
+        let Some(fit) = LineFit::of(&points) else { continue };
+        let (x, measured) = ((by_servers.x)(full), (quantity.of)(full));
+        let error = fit.error(x, measured);
+        let cells = [format!("{:.3}", fit.at(x)), format!("{measured:.3}"), format!("{:.1}", error * 100.0)];
+        table.row([quantity.name.to_string()].into_iter().chain(cells).collect());
+        if error > MAX_PREDICTION_ERROR {
+            short.push(format!("{} at full size is predicted {:.0}% off", quantity.name, error * 100.0));
+        }
+    }
+    (table, short)
+}
+
+fn charts(out: &Path, axes: &[Axis]) -> Result<(), Failure> {
+    for axis in axes {
+        let line = |(name, of): (&str, FigureOf)| {
+            let value = |point: &Point| Estimate { mean: of(point), half: f64::INFINITY };
+            let points = axis.points.iter().map(|point| ((axis.x)(point), value(point))).collect();
+            Line { name: name.into(), points }
+        };
+        let times: [(&str, FigureOf); 3] = [
+            ("median", |point| point.propagation.median_s),
+            ("99 in 100", |point| point.propagation.p99_s),
+            ("last", |point| point.propagation.last_s),
+        ];
+        let costs: [(&str, FigureOf); 2] = [
+            ("CPU ms a change, each mixer", |point| point.change_cpu_s / mixers(point) * 1e3),
+            ("memory MB, each mixer", |point| point.memory_bytes / mixers(point) / 1e6),
+        ];
+        let file = axis.name.replace('/', "-per-");
+        let path = |what: &str| -> PathBuf { out.join(format!("scale-{file}-{what}.svg")) };
+        let title = format!("A change in force everywhere, by {}", axis.name);
+        chart(&path("in-force"), &title, (axis.name, "seconds"), true, &times.map(line))?;
+        let title = format!("What a mixer needs, by {}", axis.name);
+        chart(&path("cost"), &title, (axis.name, "ms, MB"), true, &costs.map(line))?;
+    }
+    Ok(())
+}
+
+fn slopes(options: &Options, plan: &Plan) -> Result<Vec<String>, Failure> {
+    let axes = axes(options, plan)?;
+    let full = match plan.full {
+        // First calls are spread as in service: the machine takes all these whole lists no sooner.
+        Some((mixers, servers)) => {
+            let load =
+                Load { changes_per_s: 0.5, changes: 4, ask_within_s: 30.0, ..plan.load(mixers, servers) };
+            Some(measure(options, &load)?)
+        }
+        None => None,
+    };
+    let points = points_table(&axes, full.as_ref());
+    let (fits, mut short) = fits_table(&axes, options.quick);
+    println!("{}\n{}", points.text(), fits.text());
+    points.save(&options.out.join("scale.csv"))?;
+    fits.save(&options.out.join("scale-fits.csv"))?;
+    charts(&options.out, &axes)?;
+    let all = axes.iter().flat_map(|axis| &axis.points).chain(&full);
+    short
+        .extend(all.filter(|point| point.propagation.missing > 0).map(|point| {
+            format!("{} changes never in force at {:?}", point.propagation.missing, point.load)
+        }));
+    if let Some(full) = &full {
+        let (table, missed) = full_size_table(&axes[1], full);
+        println!("{}", table.text());
+        table.save(&options.out.join("scale-full-size.csv"))?;
+        short.extend(missed);
+        if full.memory_bytes > MAX_MEMORY_BYTES {
+            short.push(format!("{:.1} GB of memory at full size", full.memory_bytes / 1e9));
+        }
+        if full.propagation.last_s > MAX_IN_FORCE_S {
+            short.push(format!("a change takes {:.1} s at full size", full.propagation.last_s));
+        }
+    }
+    Ok(short)
+}
+
+fn events(options: &Options, plan: &Plan) -> Result<Vec<String>, Failure> {
+    let (mixers, servers) = plan.events;
+    let ask_within_s = if options.quick { plan.ask_within_s } else { 30.0 };
+    let load = Load { ask_within_s, ..plan.load(mixers, servers) };
+    let mut bench = EventBench::start(&load, std::env::current_exe()?, options.seed)?;
+    let mut outcomes: Vec<EventOutcome> = vec![bench.ordinary_day(plan.day)?];
+    outcomes.extend(bench.rack()?);
+    outcomes.extend(bench.zone()?);
+    outcomes.push(bench.regions_apart()?);
+    outcomes.push(bench.rolling_release()?);
+    outcomes.push(bench.restart_all_mixers()?);
+    drop(bench);
+
+    let columns = [
+        "event",
+        "mixers",
+        "servers",
+        "settled s",
+        "in force median s",
+        "in force p99 s",
+        "in force last s",
+        "calls",
+        "whole lists",
+        "change answers",
+        "MB",
+        "kB each mixer",
+    ];
+    let (mut table, mut short) = (Table::new(&columns), Vec::new());
+    for outcome in &outcomes {
+        let EventOutcome { name, propagation, counters, .. } = outcome;
+        table.row(vec![
+            name.to_string(),
+            outcome.mixers.to_string(),
+            servers.to_string(),
+            format!("{:.2}", outcome.settled_s),
+            format!("{:.3}", propagation.median_s),
+            format!("{:.3}", propagation.p99_s),
+            format!("{:.3}", propagation.last_s),
+            counters.calls.to_string(),
+            counters.whole_lists.to_string(),
+            counters.change_answers.to_string(),
+            format!("{:.2}", counters.bytes() as f64 / 1e6),
+            format!("{:.1}", outcome.bytes_a_mixer() / 1e3),
+        ]);
+        if counters.whole_lists > outcome.whole_lists_needed {
+            let (lists, needed) = (counters.whole_lists, outcome.whole_lists_needed);
+            short.push(format!("{name}: {lists} whole lists where {needed} were needed"));
+        }
+        let is_restart = outcome.whole_lists_needed > 0;
+        if !is_restart && !options.quick && propagation.last_s > MAX_IN_FORCE_S {
+            short.push(format!("{name}: in force after {:.1} s", propagation.last_s));
+        }
+    }
+    println!("{}", table.text());
+    let (day, faster) = (plan.day.changes, plan.day.times_faster());
+    println!("the ordinary day: {day} changes of its list, {faster:.0} times faster than they come");
+    table.save(&options.out.join("scale-events.csv"))?;
+    Ok(short)
+}
+
+pub fn run(options: &Options) -> Verdict {
+    let plan = if options.quick { Plan::quick() } else { Plan::full() };
+    let mut short = Vec::new();
+    match options.part.as_deref() {
+        None => {
+            short.extend(slopes(options, &plan)?);
+            short.extend(events(options, &plan)?);
+        }
+        Some("slopes") => short.extend(slopes(options, &plan)?),
+        Some("events") => short.extend(events(options, &plan)?),
+        Some(other) => return Err(Failure::Other(format!("part: {other:?} is none of slopes, events"))),
+    }
+    Ok((!short.is_empty()).then(|| short.join("; ")))
+}
--- /dev/null
+++ b/crates/wharfhub-lab/src/fleet/bench.rs
@@ -0,0 +1,188 @@
+//! One measured point: a fleet of some size, idle and under changes.
+//!
+//! This file owns what is measured and how long; it must never judge a figure.
+
+use super::processes::merged;
+use super::propagation::Propagation;
+use super::{
+    Behavior, Catalog, Counters, Discovery, Fleet, FleetError, FleetReport, FleetSetup, ListedServer,
+    MixerReport, MixerSettings, Phase, Published,
+};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+/// Zones of the fleet, as the settings of the laboratory's deployment name them.
+pub const ZONES: [&str; 2] = ["cardiff-bay", "newport-east"];
+/// Version of the first list.
+const FIRST_REVISION: u64 = 1;
+/// All mixers have the first list within this time (seconds).
+const MAX_START_S: f64 = 90.0;
+/// All mixers have a change within this time (seconds).
+pub const MAX_CHANGE_S: f64 = 60.0;
+
+/// The size of a fleet and what is done to it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Hollow mixers.
+    pub mixers: u32,
+    /// Listed servers.
+    pub servers: u32,
+    /// Changes a second, of one server each.
+    pub changes_per_s: f64,
+    /// Changes in all.
+    pub changes: u32,
+    /// Whether a change waits until the one before it is in force everywhere, so that none are told together.
+    pub in_step: bool,
+    /// How long nothing changes (seconds).
+    pub idle_s: f64,
+    /// Shortest time between two rounds of a mixer (seconds).
+    pub round_s: f64,
+    /// The settings' longest time without asking (seconds).
+    pub ask_within_s: f64,
+}
+
+/// What was measured at one size. Figures of mixers are those of all together.
+#[derive(Clone, Copy, Debug)]
+pub struct Point {
+    /// What was done.
+    pub load: Load,
+    /// From the start until all mixers had the whole list (seconds).
+    pub start_s: f64,
+    /// Processor time of all mixers for that, without what passed idle (seconds).
+    pub start_cpu_s: f64,
+    /// What discovery counted meanwhile.
+    pub start: Counters,
+    /// Memory of all host processes (bytes).
+    pub memory_bytes: f64,
+    /// Processor time a second of all mixers while nothing changes (cores).
+    pub idle_cores: f64,
+    /// What discovery counted meanwhile, and for how long (seconds).
+    pub idle: (Counters, f64),
+    /// Processor time of all mixers for one change, without what passes idle (seconds).
+    pub change_cpu_s: f64,
+    /// Processor time of discovery for one change (seconds).
+    pub discovery_change_cpu_s: f64,
+    /// What discovery counted under changes.
+    pub change: Counters,
+    /// How long changes came (seconds).
+    pub change_s: f64,
+    /// Until changes were in force.
+    pub propagation: Propagation,
+}
+
+/// The servers of a catalog of that size.
+pub fn servers(count: u32) -> Vec<ListedServer> {
+    let zones = ZONES.map(String::from);
+    (0..count).map(|number| ListedServer::hollow(number, &zones, number)).collect()
+}
+
+/// The settings of such a fleet.
+pub fn settings(load: &Load) -> MixerSettings {
+    MixerSettings {
+        replicas: load.mixers,
+        cells: load.servers,
+        round_s: load.round_s,
+        ask_within_s: load.ask_within_s,
+    }
+}
+
+/// The same server after its next step: it drains, and then it is back with a fresh start.
+pub fn stepped(server: &ListedServer) -> ListedServer {
+    match server.phase {
+        Phase::Ready => ListedServer { phase: Phase::Terminating, ..server.clone() },
+        _ => ListedServer {
+            phase: Phase::Ready,
+            started_ms: super::discovery::unix_us() / 1000,
+            ..server.clone()
+        },
+    }
+}
+
+/// A fleet with its discovery.
+pub struct Bench {
+    /// The fleet; dropped before its discovery.
+    pub fleet: Fleet,
+    /// The discovery.
+    pub discovery: Discovery,
+    started: Instant,
+}
+
+impl Bench {
+    /// Starts both.
+    pub fn start(load: &Load, program: PathBuf, processes: u32, seed: u64) -> Result<Bench, FleetError> {
+        let catalog = Catalog::new(FIRST_REVISION, servers(load.servers));
+        let discovery = Discovery::start(catalog, 1, Behavior::default())?;
+        let setup = FleetSetup {
+            mixers: load.mixers,
+            processes: processes.min(load.mixers),
+            discovery: discovery.addresses.clone(),
+            settings: settings(load),
+            seed,
+            program,
+        };
+        let started = Instant::now();
+        Ok(Bench { fleet: Fleet::start(setup)?, discovery, started })
+    }
+
+    /// Publishes changes of one server each, and waits until the last one is in force everywhere.
+    fn make_changes(&mut self, load: &Load) -> Result<(Vec<Published>, FleetReport), FleetError> {
+        let catalog = self.discovery.catalog();
+        let mut servers: Vec<ListedServer> = catalog.servers().cloned().collect();
+        let gap = Duration::from_secs_f64(1.0 / load.changes_per_s.max(1e-3));
+        let begin = Instant::now();
+        let mut published = Vec::new();
+        let mut report = self.fleet.report()?;
+        for number in 0..load.changes {
+            if !load.in_step {
+                std::thread::sleep((begin + gap * number).saturating_duration_since(Instant::now()));
+            }
+            let place = (number as usize / 2 * 37) % servers.len();
+            servers[place] = stepped(&servers[place]);
+            let version = self.discovery.publish(vec![servers[place].clone()]);
+            published.push(version);
+            if load.in_step || number + 1 == load.changes {
+                let in_force = self.fleet.await_revisions(&[version.revision], MAX_CHANGE_S)?;
+                report = merged(report, in_force);
+            }
+        }
+        Ok((published, report))
+    }
+
+    /// Measures a point. Other changes may follow.
+    pub fn measure(&mut self, load: &Load) -> Result<Point, FleetError> {
+        let nothing = Counters::default();
+        let revision = self.discovery.catalog().revision();
+        self.fleet.await_revisions(&[revision], MAX_START_S)?;
+        let (start_s, start) = (self.started.elapsed().as_secs_f64(), self.discovery.counters());
+        let started = self.fleet.report()?;
+
+        let begin = Instant::now();
+        std::thread::sleep(Duration::from_secs_f64(load.idle_s));
+        let idled = self.fleet.report()?;
+        let idle_s = begin.elapsed().as_secs_f64();
+        let idle_cores = (idled.cpu_s() - started.cpu_s()) / idle_s;
+        let idle = self.discovery.counters().since(&start);
+
+        let (before, discovery_cpu_s) = (self.discovery.counters(), self.discovery.cpu_s());
+        let begin = Instant::now();
+        let (published, changed) = self.make_changes(load)?;
+        let change_s = begin.elapsed().as_secs_f64();
+        let change = self.discovery.counters().since(&before);
+        let count = f64::from(load.changes.max(1));
+        let mixers: Vec<&MixerReport> = changed.mixers.iter().collect();
+        Ok(Point {
+            load: *load,
+            start_s,
+            start_cpu_s: started.cpu_s() - idle_cores * start_s,
+            start: start.since(&nothing),
+            memory_bytes: changed.resident_bytes as f64,
+            idle_cores,
+            idle: (idle, idle_s),
+            change_cpu_s: (changed.cpu_s() - idled.cpu_s() - idle_cores * change_s) / count,
+            discovery_change_cpu_s: (self.discovery.cpu_s() - discovery_cpu_s) / count,
+            change,
+            change_s,
+            propagation: Propagation::of(&published, &mixers),
+        })
+    }
+}
--- /dev/null
+++ b/crates/wharfhub-lab/src/fleet/call_queue.rs
@@ -0,0 +1,133 @@
+//! The turns in which a discovery takes calls, and the watches that wait for news.
+//!
+//! A state machine without sockets and clock: calls go in with a time, answers come out with a time. It must never
+//! know what a list says, only its version.
+
+use std::collections::{BTreeMap, VecDeque};
+
+/// A call that has waited for its turn for longer has failed, and takes its turn all the same (seconds).
+const MAX_QUEUE_WAIT_S: f64 = 2.0;
+
+/// What is asked of discovery.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Call {
+    /// The whole list.
+    WholeList,
+    /// Changes after a version, waiting for them for so long at most.
+    Watch {
+        /// The version that is known.
+        since: u64,
+        /// Longest wait (seconds).
+        wait_s: f64,
+    },
+}
+
+/// What a call is answered with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Answer {
+    /// The whole list.
+    WholeList,
+    /// The changes after that version, perhaps none.
+    Changes {
+        /// The version that is known.
+        since: u64,
+    },
+    /// It waited too long for its turn.
+    Overloaded,
+}
+
+/// Calls in turn, and open watches. `K` names who asked.
+#[derive(Debug)]
+pub struct CallQueue<K> {
+    turn_s: f64,
+    busy_until: f64,
+    queue: VecDeque<(f64, K, Call)>,
+    watches: BTreeMap<K, OpenWatch>,
+    most_queued: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OpenWatch {
+    since: u64,
+    until: f64,
+}
+
+impl<K: Copy + Ord> CallQueue<K> {
+    /// A queue in which each call takes so long.
+    pub fn new(turn_s: f64) -> CallQueue<K> {
+        let (queue, watches) = (VecDeque::new(), BTreeMap::new());
+        CallQueue { turn_s, busy_until: 0.0, queue, watches, most_queued: 0 }
+    }
+
+    /// Each call takes so long from now on.
+    pub fn set_turn_s(&mut self, turn_s: f64) {
+        self.turn_s = turn_s;
+    }
+
+    /// A call has come.
+    pub fn push(&mut self, now: f64, key: K, call: Call) {
+        self.busy_until = self.busy_until.max(now);
+        self.queue.push_back((now, key, call));
+        self.most_queued = self.most_queued.max(self.queue.len());
+    }
+
+    /// Whoever asked has gone. Its call takes its turn all the same, for discovery does not notice.
+    pub fn forget(&mut self, key: K) {
+        self.watches.remove(&key);
+    }
+
+    /// All open watches, which are forgotten.
+    pub fn take_watches(&mut self) -> Vec<K> {
+        std::mem::take(&mut self.watches).into_keys().collect()
+    }
+
+    /// Open watches.
+    pub fn watches(&self) -> usize {
+        self.watches.len()
+    }
+
+    /// The most calls that have waited for their turn at once.
+    pub fn most_queued(&self) -> usize {
+        self.most_queued
+    }
+
+    /// The answers that are due now, at that version of the list; `remembers` says whether changes since a version
+    /// can be told.
+    pub fn poll(&mut self, now: f64, revision: u64, remembers: impl Fn(u64) -> bool) -> Vec<(K, Answer)> {
+        let mut answers = Vec::new();
+        while let Some((asked_at, key, call)) = self.queue.front().copied() {
+            let done_at = self.busy_until + self.turn_s;
+            if done_at > now && self.turn_s > 0.0 {
+                break;
+            }
+            self.queue.pop_front();
+            self.busy_until = done_at;
+            if done_at - asked_at > MAX_QUEUE_WAIT_S {
+                answers.push((key, Answer::Overloaded));
+                continue;
+            }
+            match call {
+                Call::WholeList => answers.push((key, Answer::WholeList)),
+                Call::Watch { since, .. } if !remembers(since) => answers.push((key, Answer::WholeList)),
+                Call::Watch { since, wait_s } => {
+                    self.watches.insert(key, OpenWatch { since, until: now + wait_s });
+                }
+            }
+        }
+        let is_over = |watch: &OpenWatch| watch.since < revision || watch.until <= now;
+        let over = self.watches.iter().filter(|(_, watch)| is_over(watch));
+        let over: Vec<(K, u64)> = over.map(|(key, watch)| (*key, watch.since)).collect();
+        for (key, since) in over {
+            self.watches.remove(&key);
+            answers.push((key, if remembers(since) { Answer::Changes { since } } else { Answer::WholeList }));
+        }
+        answers
+    }
+
+    /// When something falls due next, if nothing comes in.
+    pub fn next_at(&self) -> Option<f64> {
+        let turn = self.queue.front().map(|_| self.busy_until + self.turn_s);
+        let watch = self.watches.values().map(|watch| watch.until).min_by(f64::total_cmp);
+        turn.into_iter().chain(watch).min_by(f64::total_cmp)
+    }
+}
--- /dev/null
+++ b/crates/wharfhub-lab/src/fleet/discovery.rs
@@ -0,0 +1,575 @@
+//! A discovery stand-in on loopback sockets: one thread that serves over a thousand watchers.
+//!
+//! This file owns its sockets and counts what passes over them. Which call is answered when is decided in
+//! `call_queue.rs`, and what a list says in `catalog.rs`. It must never learn more of a mixer than its calls.
+
+use super::call_queue::{Answer, Call, CallQueue};
+use super::catalog::{Catalog, Layout, ListedServer};
+use super::usage;
+use crate::standin::lock;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token, Waker};
+use slotmap::{Key, KeyData, SlotMap};
+use std::collections::{HashMap, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use wharfhub::net::http::{self, Message, Reader, Start};
+
+const WAKER: Token = Token(usize::MAX);
+/// Bytes that may wait for one watcher that does not read; beyond that its connection is closed.
+const MAX_UNSENT_BYTES: usize = 16 * 1024 * 1024;
+/// Longest body that a call may have.
+const MAX_CALL_BYTES: usize = 64 * 1024;
+/// Longest wait of a watch, as the protocol has it (seconds).
+const MAX_WATCH_S: f64 = 60.0;
+/// Accepts in a row before other sockets are served.
+const MAX_ACCEPTS_A_TURN: usize = 256;
+/// Longest sleep of the loop where nothing is due (seconds).
+const MAX_POLL_S: f64 = 1.0;
+
+slotmap::new_key_type! {
+    struct ConnKey;
+}
+
+/// What becomes of the body of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Delivery {
+    /// It is written whole.
+    #[default]
+    Whole,
+    /// So many bytes of it are written, and the connection is closed.
+    CutAfter(usize),
+    /// So many bytes of it are written, and nothing more ever.
+    StallAfter(usize),
+}
+
+/// How discovery behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Behavior {
+    /// Connections are reset, new ones too.
+    pub down: bool,
+    /// Calls are read and never answered.
+    pub silent: bool,
+    /// Changes are told so much later (seconds).
+    pub lag_s: f64,
+    /// Each call takes so long, one after the other (seconds).
+    pub turn_s: f64,
+    /// Watches are answered with the whole list too.
+    pub whole_lists_only: bool,
+    /// How lists are laid out.
+    pub layout: Layout,
+    /// What becomes of whole lists.
+    pub delivery: Delivery,
+}
+
+/// What has passed since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Connections accepted.
+    pub connections: u64,
+    /// Calls read.
+    pub calls: u64,
+    /// Of these, calls that do not wait for news (heartbeats).
+    pub heartbeats: u64,
+    /// Answers with the whole list.
+    pub whole_lists: u64,
+    /// Answers with changes.
+    pub change_answers: u64,
+    /// Bytes of answers with changes.
+    pub change_bytes: u64,
+    /// Answers without any change.
+    pub empty_answers: u64,
+    /// Answers 503.
+    pub overloaded: u64,
+    /// Bytes read.
+    pub bytes_in: u64,
+    /// Bytes written.
+    pub bytes_out: u64,
+    /// Watchers that were closed because they did not read.
+    pub slow_closed: u64,
+    /// Most calls that waited for their turn at once.
+    pub most_queued: u64,
+    /// Watches open at the last look.
+    pub watches: u64,
+    /// Bytes that wait to be written, at most so far; a text that many wait for counts once for each.
+    pub most_unsent_bytes: u64,
+}
+
+impl Counters {
+    /// What has passed since an earlier count; levels and maxima stay as they are.
+    pub fn since(&self, before: &Counters) -> Counters {
+        Counters {
+            connections: self.connections - before.connections,
+            calls: self.calls - before.calls,
+            heartbeats: self.heartbeats - before.heartbeats,
+            whole_lists: self.whole_lists - before.whole_lists,
+            change_answers: self.change_answers - before.change_answers,
+            change_bytes: self.change_bytes - before.change_bytes,
+            empty_answers: self.empty_answers - before.empty_answers,
+            overloaded: self.overloaded - before.overloaded,
+            bytes_in: self.bytes_in - before.bytes_in,
+            bytes_out: self.bytes_out - before.bytes_out,
+            slow_closed: self.slow_closed - before.slow_closed,
+            ..*self
+        }
+    }
+
+    /// Both counts together; of maxima the larger one.
+    pub fn and(self, other: Counters) -> Counters {
+        Counters {
+            connections: self.connections + other.connections,
+            calls: self.calls + other.calls,
+            heartbeats: self.heartbeats + other.heartbeats,
+            whole_lists: self.whole_lists + other.whole_lists,
+            change_answers: self.change_answers + other.change_answers,
+            change_bytes: self.change_bytes + other.change_bytes,
+            empty_answers: self.empty_answers + other.empty_answers,
+            overloaded: self.overloaded + other.overloaded,
+            bytes_in: self.bytes_in + other.bytes_in,
+            bytes_out: self.bytes_out + other.bytes_out,
+            slow_closed: self.slow_closed + other.slow_closed,
+            most_queued: self.most_queued.max(other.most_queued),
+            watches: self.watches + other.watches,
+            most_unsent_bytes: self.most_unsent_bytes.max(other.most_unsent_bytes),
+        }
+    }
+
+    /// Calls and answers.
+    pub fn messages(&self) -> u64 {
+        self.calls + self.whole_lists + self.change_answers + self.empty_answers + self.overloaded
+    }
+
+    /// Bytes in both directions.
+    pub fn bytes(&self) -> u64 {
+        self.bytes_in + self.bytes_out
+    }
+}
+
+/// A version that was published, and when it could first be told (Unix microseconds).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Published {
+    /// The version.
+    pub revision: u64,
+    /// When.
+    pub at_us: u64,
+}
+
+/// The wall clock (Unix microseconds): the same for all processes of this machine.
+pub fn unix_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64)
+}
+
+struct Shared {
+    catalog: Catalog,
+    /// Changes that are not told yet, and from when on they are.
+    pending: VecDeque<(Instant, Vec<ListedServer>)>,
+    behavior: Behavior,
+    counters: Counters,
+    region_cut_off: Vec<bool>,
+    silence_open_watches: bool,
+    stop: bool,
+}
+
+/// A discovery that runs. It ends with this value.
+pub struct Discovery {
+    /// Where it listens: an address for each region.
+    pub addresses: Vec<SocketAddr>,
+    shared: Arc<Mutex<Shared>>,
+    waker: Waker,
+    thread: Option<JoinHandle<io::Result<()>>>,
+    cpu: usage::ThreadCpu,
+}
+
+impl Drop for Discovery {
+    fn drop(&mut self) {
+        lock(&self.shared).stop = true;
+        let _ = self.waker.wake();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Discovery {
+    /// Starts one that serves this catalog to so many regions.
+    pub fn start(catalog: Catalog, regions: usize, behavior: Behavior) -> io::Result<Discovery> {
+        let poll = Poll::new()?;
+        let waker = Waker::new(poll.registry(), WAKER)?;
+        let mut listeners = Vec::new();
+        for region in 0..regions {
+            let mut listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+            poll.registry().register(&mut listener, Token(region), Interest::READABLE)?;
+            listeners.push(listener);
+        }
+        let addresses = listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
+        let shared = Arc::new(Mutex::new(Shared {
+            catalog,
+            pending: VecDeque::new(),
+            behavior,
+            counters: Counters::default(),
+            region_cut_off: vec![false; regions],
+            silence_open_watches: false,
+            stop: false,
+        }));
+        let (cpu_told, cpu_known) = std::sync::mpsc::channel();
+        let server_shared = shared.clone();
+        let serve = move || {
+            let _ = cpu_told.send(usage::ThreadCpu::of_this_thread());
+            Server::new(poll, listeners, server_shared, behavior).run()
+        };
+        let thread = std::thread::Builder::new().name("discovery".into()).spawn(serve)?;
+        let cpu = cpu_known.recv().map_err(|_| io::ErrorKind::BrokenPipe)??;
+        Ok(Discovery { addresses, shared, waker, thread: Some(thread), cpu })
+    }
+
+    /// Makes changes known as one version.
+    pub fn publish(&self, changes: Vec<ListedServer>) -> Published {
+        let mut shared = lock(&self.shared);
+        let lag = Duration::from_secs_f64(shared.behavior.lag_s.max(0.0));
+        shared.pending.push_back((Instant::now() + lag, changes));
+        let revision = shared.catalog.revision() + shared.pending.len() as u64;
+        drop(shared);
+        let at_us = unix_us() + lag.as_micros() as u64;
+        let _ = self.waker.wake();
+        Published { revision, at_us }
+    }
+
+    /// Behaves in that way from now on.
+    pub fn behave(&self, behavior: Behavior) {
+        lock(&self.shared).behavior = behavior;
+        let _ = self.waker.wake();
+    }
+
+    /// Cuts a region off, without a sign to either side, or connects it again; what was open then is reset.
+    pub fn cut_off(&self, region: usize, cut_off: bool) {
+        if let Some(cut) = lock(&self.shared).region_cut_off.get_mut(region) {
+            *cut = cut_off;
+        }
+        let _ = self.waker.wake();
+    }
+
+    /// Never answers the watches that are open now.
+    pub fn silence_open_watches(&self) {
+        lock(&self.shared).silence_open_watches = true;
+        let _ = self.waker.wake();
+    }
+
+    /// What has passed so far.
+    pub fn counters(&self) -> Counters {
+        lock(&self.shared).counters
+    }
+
+    /// The servers that it lists now, and those it will list.
+    pub fn catalog(&self) -> Catalog {
+        let shared = lock(&self.shared);
+        let mut catalog = shared.catalog.clone();
+        shared.pending.iter().for_each(|(_, changes)| {
+            catalog.apply(changes.clone());
+        });
+        catalog
+    }
+
+    /// Processor time of its thread so far (seconds).
+    pub fn cpu_s(&self) -> f64 {
+        self.cpu.read_s().unwrap_or(0.0)
+    }
+}
+
+/// A connection of a mixer.
+struct Conn {
+    stream: TcpStream,
+    region: usize,
+    reader: Reader,
+    inbuf: Vec<u8>,
+    out: VecDeque<(Rc<[u8]>, usize)>, // texts, and how much of each is written
+    unsent: usize,
+    closes: bool, // once all is written
+    stalled: bool,
+}
+
+impl Conn {
+    /// Writes what the socket takes; says how much that was.
+    fn flush(&mut self) -> io::Result<u64> {
+        let mut written = 0;
+        while let Some((text, done)) = self.out.front_mut() {
+            match self.stream.write(&text[*done..]) {
+                Ok(count) => {
+                    (*done, written) = (*done + count, written + count as u64);
+                    self.unsent -= count;
+                    if *done == text.len() {
+                        self.out.pop_front();
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        if self.closes && self.out.is_empty() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(written)
+    }
+}
+
+struct Server {
+    poll: Poll,
+    listeners: Vec<TcpListener>,
+    conns: SlotMap<ConnKey, Conn>,
+    queue: CallQueue<ConnKey>,
+    shared: Arc<Mutex<Shared>>,
+    behavior: Behavior,
+    cut_off: Vec<bool>,
+    texts: HashMap<Answer, Rc<[u8]>>, // answers at the present version
+    texts_of: (u64, Layout),
+    start: Instant,
+}
+
+impl Server {
+    fn new(
+        poll: Poll,
+        listeners: Vec<TcpListener>,
+        shared: Arc<Mutex<Shared>>,
+        behavior: Behavior,
+    ) -> Server {
+        let cut_off = vec![false; listeners.len()];
+        let queue = CallQueue::new(behavior.turn_s);
+        let (conns, texts) = (SlotMap::with_key(), HashMap::new());
+        let (texts_of, start) = ((0, Layout::Compact), Instant::now());
+        Server { poll, listeners, conns, queue, shared, behavior, cut_off, texts, texts_of, start }
+    }
+
+    fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    fn run(mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(1024);
+        loop {
+            let wait_s = self.wait_s();
+            match self.poll.poll(&mut events, Some(Duration::from_secs_f64(wait_s))) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                result => result?,
+            }
+            for event in &events {
+                match event.token() {
+                    WAKER => {}
+                    Token(region) if region < self.listeners.len() => self.accept(region),
+                    Token(key) => self.serve(ConnKey::from(KeyData::from_ffi(key as u64))),
+                }
+            }
+            if self.obey() {
+                return Ok(());
+            }
+            self.answer_due();
+        }
+    }
+
+    /// How long nothing is due.
+    fn wait_s(&self) -> f64 {
+        let pending = lock(&self.shared).pending.front().map(|(at, _)| *at);
+        let until_s = |at: Instant| at.saturating_duration_since(Instant::now()).as_secs_f64();
+        let queue_s = self.queue.next_at().map_or(MAX_POLL_S, |at| at - self.now());
+        let pending_s = pending.map_or(MAX_POLL_S, until_s);
+        queue_s.min(pending_s).clamp(0.0, MAX_POLL_S)
+    }
+
+    /// Takes up what the owner of this discovery wants; says whether it is to end.
+    fn obey(&mut self) -> bool {
+        let shared = self.shared.clone();
+        let mut shared = lock(&shared);
+        while shared.pending.front().is_some_and(|(at, _)| *at <= Instant::now()) {
+            if let Some((_, changes)) = shared.pending.pop_front() {
+                shared.catalog.apply(changes);
+            }
+        }
+        self.behavior = shared.behavior;
+        self.queue.set_turn_s(self.behavior.turn_s);
+        if std::mem::take(&mut shared.silence_open_watches) {
+            self.queue.take_watches();
+        }
+        let joined = |region: usize| self.cut_off[region] && !shared.region_cut_off[region];
+        let joined: Vec<usize> = (0..self.cut_off.len()).filter(|region| joined(*region)).collect();
+        self.cut_off.clone_from(&shared.region_cut_off);
+        let stop = shared.stop;
+        drop(shared);
+        let is_reset = |conn: &Conn| self.behavior.down || joined.contains(&conn.region);
+        let reset: Vec<ConnKey> =
+            self.conns.iter().filter(|(_, conn)| is_reset(conn)).map(|(key, _)| key).collect();
+        reset.into_iter().for_each(|key| self.close(key));
+        stop
+    }
+
+    fn close(&mut self, key: ConnKey) {
+        self.conns.remove(key);
+        self.queue.forget(key);
+    }
+
+    fn accept(&mut self, region: usize) {
+        for _ in 0..MAX_ACCEPTS_A_TURN {
+            let Ok((mut stream, _)) = self.listeners[region].accept() else { return };
+            lock(&self.shared).counters.connections += 1;
+            if self.behavior.down {
+                continue;
+            }
+            let _ = stream.set_nodelay(true);
+            let registry = self.poll.registry();
+            let reader = Reader::requests(MAX_CALL_BYTES);
+            let key = self.conns.insert_with_key(|key| {
+                let both = Interest::READABLE | Interest::WRITABLE;
+                let _ = registry.register(&mut stream, Token(key.data().as_ffi() as usize), both);
+                let (inbuf, out) = (Vec::new(), VecDeque::new());
+                Conn { stream, region, reader, inbuf, out, unsent: 0, closes: false, stalled: false }
+            });
+            self.serve(key);
+        }
+        // More may wait: the listener is looked at again in the next turn.
+        let token = Token(region);
+        let _ = self.poll.registry().reregister(&mut self.listeners[region], token, Interest::READABLE);
+    }
+
+    /// Something has come on a connection, or more can be written to it.
+    fn serve(&mut self, key: ConnKey) {
+        let cut_off = &self.cut_off;
+        let Some(conn) = self.conns.get_mut(key).filter(|conn| !cut_off[conn.region]) else { return };
+        let mut calls = Vec::new();
+        let read = read_calls(conn, &mut calls);
+        let flushed = conn.flush();
+        let mut shared = lock(&self.shared);
+        let counters = &mut shared.counters;
+        counters.bytes_in += read.as_ref().map_or(0, |count| *count);
+        counters.bytes_out += flushed.as_ref().map_or(0, |count| *count);
+        counters.calls += calls.len() as u64;
+        let is_heartbeat = |call: &&Call| matches!(call, Call::Watch { wait_s, .. } if *wait_s <= 0.0);
+        counters.heartbeats += calls.iter().filter(is_heartbeat).count() as u64;
+        drop(shared);
+        if read.is_err() || flushed.is_err() {
+            return self.close(key);
+        }
+        if !self.behavior.silent {
+            let now = self.now();
+            calls.into_iter().for_each(|call| self.queue.push(now, key, call));
+        }
+    }
+
+    /// Answers what is due.
+    fn answer_due(&mut self) {
+        let shared = self.shared.clone();
+        let mut shared = lock(&shared);
+        let revision = shared.catalog.revision();
+        if self.texts_of != (revision, self.behavior.layout) {
+            self.texts.clear();
+            self.texts_of = (revision, self.behavior.layout);
+        }
+        let (now, whole_only) = (self.now(), self.behavior.whole_lists_only);
+        let catalog = &shared.catalog;
+        let answers = self.queue.poll(now, revision, |since| catalog.remembers(since));
+        let mut closed = Vec::new();
+        for (key, answer) in answers {
+            let answer = match answer {
+                Answer::Changes { .. } if whole_only => Answer::WholeList,
+                answer => answer,
+            };
+            let Some(conn) = self.conns.get_mut(key).filter(|conn| !conn.stalled) else { continue };
+            let text = self.texts.entry(answer);
+            let text = text.or_insert_with(|| render(&shared.catalog, answer, self.behavior.layout)).clone();
+            count_answer(&mut shared.counters, answer, revision, text.len());
+            send(conn, text, answer, self.behavior.delivery);
+            let unsent = conn.unsent as u64;
+            shared.counters.most_unsent_bytes = shared.counters.most_unsent_bytes.max(unsent);
+            if self.cut_off[conn.region] {
+                continue;
+            }
+            match conn.flush() {
+                Ok(count) => shared.counters.bytes_out += count,
+                Err(_) => closed.push(key),
+            }
+            if conn.unsent > MAX_UNSENT_BYTES {
+                shared.counters.slow_closed += 1;
+                closed.push(key);
+            }
+        }
+        shared.counters.most_queued = self.queue.most_queued() as u64;
+        shared.counters.watches = self.queue.watches() as u64;
+        drop(shared);
+        closed.into_iter().for_each(|key| self.close(key));
+    }
+}
+
+/// Reads what has come; an error ends the connection.
+fn read_calls(conn: &mut Conn, calls: &mut Vec<Call>) -> io::Result<u64> {
+    let (mut buffer, mut count) = ([0; 4096], 0);
+    loop {
+        match conn.stream.read(&mut buffer) {
+            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(some) => {
+                count += some as u64;
+                conn.inbuf.extend_from_slice(&buffer[..some]);
+                let invalid = |_| io::Error::from(io::ErrorKind::InvalidData);
+                while let Some(message) = conn.reader.read(&mut conn.inbuf, false).map_err(invalid)? {
+                    calls.push(call_of(&message).ok_or(io::ErrorKind::InvalidData)?);
+                }
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(count),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// What a message asks: the whole list, or a watch from `index` on that waits for `wait` milliseconds.
+fn call_of(message: &Message) -> Option<Call> {
+    let Start::Request { target, .. } = &message.start else { return None };
+    let query = match target.strip_prefix("/api/targets")? {
+        "" => return Some(Call::WholeList),
+        query => query.strip_prefix('?')?,
+    };
+    let value = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).and_then(|(_, value)| value.parse::<u64>().ok())
+    };
+    let wait_s = value("wait").unwrap_or(0) as f64 / 1000.0;
+    Some(match value("index") {
+        Some(since) => Call::Watch { since, wait_s: wait_s.min(MAX_WATCH_S) },
+        None => Call::WholeList,
+    })
+}
+
+fn render(catalog: &Catalog, answer: Answer, layout: Layout) -> Rc<[u8]> {
+    let (status, body) = match answer {
+        Answer::WholeList => (200, catalog.whole_list(layout)),
+        Answer::Changes { since } => (200, catalog.changes_since(since, layout)),
+        Answer::Overloaded => (503, "{}".into()),
+    };
+    http::response(status, &[], &body, false).into()
+}
+
+fn count_answer(counters: &mut Counters, answer: Answer, revision: u64, bytes: usize) {
+    match answer {
+        Answer::WholeList => counters.whole_lists += 1,
+        Answer::Changes { since } if since < revision => {
+            counters.change_answers += 1;
+            counters.change_bytes += bytes as u64;
+        }
+        Answer::Changes { .. } => counters.empty_answers += 1,
+        Answer::Overloaded => counters.overloaded += 1,
+    }
+}
+
+/// Hands a text to a connection, as far as it is to be delivered.
+fn send(conn: &mut Conn, text: Rc<[u8]>, answer: Answer, delivery: Delivery) {
+    let (text, cut) = match (answer, delivery) {
+        (Answer::WholeList, Delivery::CutAfter(bytes) | Delivery::StallAfter(bytes)) => {
+            (Rc::from(&text[..bytes.min(text.len())]), true)
+        }
+        _ => (text, false),
+    };
+    conn.closes = cut && matches!(delivery, Delivery::CutAfter(_));
+    conn.stalled = cut && matches!(delivery, Delivery::StallAfter(_));
+    conn.unsent += text.len();
+    conn.out.push_back((text, 0));
+}
--- a/crates/wharfhub-lab/src/lib.rs
+++ b/crates/wharfhub-lab/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod daemon;
 pub mod experiments;
+pub mod fleet;
 pub mod journal;
 pub mod links;
 pub mod load;
--- a/crates/wharfhub-lab/src/main.rs
+++ b/crates/wharfhub-lab/src/main.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use wharfhub_lab::experiments::{Options, ALL};
+use wharfhub_lab::fleet::host;
 use wharfhub_lab::journal;
 
 /// Experiments on wharfhub, in virtual time and on loopback sockets.
@@ -21,6 +22,7 @@
     List(List),
     Run(Run),
     Journal(Journal),
+    Host(Host),
 }
 
 /// name all experiments
@@ -41,6 +43,9 @@
     /// on sockets, against the daemon, where the experiment can
     #[argh(switch)]
     real: bool,
+    /// only this part of it, where the experiment has parts
+    #[argh(option)]
+    part: Option<String>,
     /// the first seed (1)
     #[argh(option, default = "1")]
     seed: u64,
@@ -49,6 +54,11 @@
     out: PathBuf,
 }
 
+/// run hollow mixers for a parent that says what on standard input; ends with that input
+#[derive(FromArgs)]
+#[argh(subcommand, name = "host")]
+struct Host {}
+
 /// the bench's journal as a table and a chart
 #[derive(FromArgs)]
 #[argh(subcommand, name = "journal")]
@@ -84,6 +94,16 @@
     }
 }
 
+fn run_host() -> ExitCode {
+    match host::run(std::io::stdin().lock(), std::io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("wharfhub-lab: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let run = match argh::from_env::<Arguments>().command {
         Command::List(_) => {
@@ -91,14 +111,15 @@
             return ExitCode::SUCCESS;
         }
         Command::Journal(journal) => return show(&journal),
+        Command::Host(_) => return run_host(),
         Command::Run(run) => run,
     };
     let Some(experiment) = ALL.iter().find(|one| one.name == run.name) else {
         eprintln!("wharfhub-lab: there is no experiment {:?}; `list` names them", run.name);
         return ExitCode::FAILURE;
     };
-    let Run { quick, real, seed, out, .. } = run;
-    let options = Options { quick, seed, out, real };
+    let Run { quick, real, seed, out, part, .. } = run;
+    let options = Options { quick, seed, out, real, part };
     let result =
         std::fs::create_dir_all(&options.out).map_err(Into::into).and_then(|()| (experiment.run)(&options));
     match result {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -100,6 +100,18 @@
     pub config: PathBuf,
 }
 
+/// A list of servers that has come into force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListInForce {
+    /// Its version, where it has one.
+    pub revision: Option<u64>,
+    /// Servers that are known now.
+    pub servers: usize,
+}
+
+/// Is told of each list on the loop's thread; it must not block.
+pub type ListObserver = Box<dyn FnMut(ListInForce)>;
+
 /// The one clock, in Unix seconds: monotonic, tied to wall time once, so that a time told twice is twice the same,
 /// and means the same to the process that takes over.
 #[derive(Clone, Copy, Debug)]
@@ -207,6 +219,7 @@
     drain_s: f64,
     store: Option<operator::Store>,
     vrrp: Option<operator::Vrrp>,
+    list_observer: Option<ListObserver>,
 }
 
 impl Mixer {
@@ -287,6 +300,7 @@
             drain_s: options.drain_s,
             store: None,
             vrrp: None,
+            list_observer: None,
         };
         mixer.log_listeners();
         mixer.log_phases();
@@ -315,6 +329,11 @@
         Ok(mixer)
     }
 
+    /// Tells the observer of each list that comes into force from now on.
+    pub fn observe_lists(&mut self, observer: ListObserver) {
+        self.list_observer = Some(observer);
+    }
+
     /// Runs until the program is to end and all that was held is answered.
     pub fn run(&mut self) -> Result<(), NetError> {
         let mut events = Events::with_capacity(256);
