--- a/crates/wharfhub-lab/src/fleet/discovery.rs
+++ b/crates/wharfhub-lab/src/fleet/discovery.rs
@@ -474,7 +474,8 @@
                 Answer::Changes { .. } if whole_only => Answer::WholeList,
                 answer => answer,
             };
-            let Some(conn) = self.conns.get_mut(key).filter(|conn| !conn.stalled) else { continue };
+            let is_served = |conn: &&mut Conn| !conn.stalled && conn.unsent <= MAX_UNSENT_BYTES;
+            let Some(conn) = self.conns.get_mut(key).filter(is_served) else { continue };
             let text = self.texts.entry(answer);
             let text = text.or_insert_with(|| render(&shared.catalog, answer, self.behavior.layout)).clone();
             count_answer(&mut shared.counters, answer, revision, text.len());
--- /dev/null
+++ b/crates/wharfhub-lab/tests/fleet.rs
@@ -0,0 +1,372 @@
+//! The hollow fleet and its discovery stand-in: the hard cases of lists and watches, on the daemon's own control code.
+//!
+//! Waits end when what is looked for has come about, or fail after a time that a busy machine does not need.
+
+use rstest::rstest;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+use wharfhub_lab::fleet::bench::{servers, stepped, Load};
+use wharfhub_lab::fleet::call_queue::{Answer, Call, CallQueue};
+use wharfhub_lab::fleet::fit::LineFit;
+use wharfhub_lab::fleet::host::{self, HostError};
+use wharfhub_lab::fleet::propagation::Propagation;
+use wharfhub_lab::fleet::regions::Regions;
+use wharfhub_lab::fleet::{
+    Behavior, Catalog, Delivery, Discovery, Fleet, FleetError, FleetSetup, HollowMixer, InForce, Layout,
+    ListedServer, MixerReport, MixerSettings, MixerSetup, Phase, Published,
+};
+
+/// Longer than anything here takes on a busy machine.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+fn wait_until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let until = Instant::now() + MAX_WAIT;
+    while !is_so() {
+        assert!(Instant::now() < until, "never came about: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn settings(replicas: u32, cells: u32) -> MixerSettings {
+    MixerSettings { replicas, cells, round_s: 0.01, ask_within_s: 0.2 }
+}
+
+fn mixer(number: u32, discovery: SocketAddr, cells: u32) -> HollowMixer {
+    let settings = settings(2, cells).text();
+    HollowMixer::start(&MixerSetup { number, discovery, settings, seed: 7 }).unwrap()
+}
+
+fn discovery(count: u32, behavior: Behavior) -> Discovery {
+    Discovery::start(Catalog::new(1, servers(count)), 1, behavior).unwrap()
+}
+
+fn wait_for_revision(mixer: &mut HollowMixer, revision: u64) -> MixerReport {
+    let mut last = mixer.report();
+    wait_until(&format!("revision {revision}"), || {
+        last = mixer.report();
+        assert_eq!(last.failure, None);
+        last.revision >= revision
+    });
+    last
+}
+
+/// A first list in each form comes into force whole, and so does a change of each of its lines in one answer.
+#[rstest]
+#[case::compact(1_000, Layout::Compact)]
+#[case::indented(1_000, Layout::Indented)]
+#[case::large(5_300, Layout::Compact)]
+fn a_list_and_a_change_of_each_of_its_lines_come_into_force(#[case] count: u32, #[case] layout: Layout) {
+    let discovery = discovery(count, Behavior { layout, ..Behavior::default() });
+    let mut mixer = mixer(0, discovery.addresses[0], count);
+    assert_eq!(wait_for_revision(&mut mixer, 1).servers, u64::from(count));
+    let changed = discovery.publish(servers(count).iter().map(stepped).collect());
+    assert_eq!(wait_for_revision(&mut mixer, changed.revision).servers, u64::from(count));
+    let counters = discovery.counters();
+    assert_eq!((counters.whole_lists, counters.change_answers), (1, 1));
+}
+
+#[test]
+fn a_thousand_changes_come_in_one_answer() {
+    let discovery = discovery(1_500, Behavior::default());
+    let mut mixer = mixer(0, discovery.addresses[0], 1_500);
+    wait_for_revision(&mut mixer, 1);
+    let gone = |server: &ListedServer| ListedServer { phase: Phase::Gone, ..server.clone() };
+    let changed = discovery.publish(servers(1_000).iter().map(gone).collect());
+    assert_eq!(wait_for_revision(&mut mixer, changed.revision).servers, 500);
+    assert_eq!(discovery.counters().change_answers, 1);
+}
+
+#[test]
+fn changes_of_servers_that_are_unknown_add_them_or_do_nothing() {
+    let discovery = discovery(10, Behavior::default());
+    let mut mixer = mixer(0, discovery.addresses[0], 10);
+    wait_for_revision(&mut mixer, 1);
+    let unknown = ListedServer { id: "s-unknown".into(), ..servers(11)[10].clone() };
+    let gone = ListedServer { id: "s-never-there".into(), phase: Phase::Gone, ..unknown.clone() };
+    let changed = discovery.publish(vec![unknown, gone]);
+    assert_eq!(wait_for_revision(&mut mixer, changed.revision).servers, 11);
+}
+
+/// A list that is cut off, time and again, changes nothing; the first whole one counts.
+#[test]
+fn lists_that_are_cut_off_change_nothing() {
+    let cut = Behavior { delivery: Delivery::CutAfter(5_000), ..Behavior::default() };
+    let discovery = discovery(200, cut);
+    let mut mixer = mixer(0, discovery.addresses[0], 200);
+    wait_until("three lists were cut off", || discovery.counters().whole_lists >= 3);
+    assert_eq!(mixer.report().in_force, []);
+    discovery.behave(Behavior::default());
+    assert_eq!(wait_for_revision(&mut mixer, 1).servers, 200);
+}
+
+#[test]
+fn a_discovery_that_only_tells_whole_lists_is_understood() {
+    let discovery = discovery(50, Behavior { whole_lists_only: true, ..Behavior::default() });
+    let mut mixer = mixer(0, discovery.addresses[0], 50);
+    wait_for_revision(&mut mixer, 1);
+    let gone = ListedServer { phase: Phase::Gone, ..servers(1)[0].clone() };
+    let changed = discovery.publish(vec![gone]);
+    assert_eq!(wait_for_revision(&mut mixer, changed.revision).servers, 49);
+    assert_eq!(discovery.counters().change_answers, 0);
+}
+
+/// Silent, down, or cut off from the mixer's region: a change is in force once discovery can be reached.
+#[rstest]
+#[case::silent(Behavior { silent: true, ..Behavior::default() }, false)]
+#[case::down(Behavior { down: true, ..Behavior::default() }, false)]
+#[case::cut_off(Behavior::default(), true)]
+fn a_change_is_in_force_after_trouble_of_discovery(#[case] trouble: Behavior, #[case] cut_off: bool) {
+    let discovery = discovery(20, Behavior::default());
+    let mut mixer = mixer(0, discovery.addresses[0], 20);
+    wait_for_revision(&mut mixer, 1);
+    wait_until("a watch is open", || discovery.counters().watches == 1);
+    discovery.silence_open_watches();
+    discovery.behave(trouble);
+    discovery.cut_off(0, cut_off);
+    let changed = discovery.publish(vec![stepped(&servers(1)[0])]);
+    let before = discovery.counters();
+    if cut_off {
+        // Nothing passes; the mixer opens another connection for its next call.
+        wait_until("another connection", || discovery.counters().connections > before.connections);
+        assert_eq!(discovery.counters().calls, before.calls);
+    } else {
+        let tried = |counters: wharfhub_lab::fleet::Counters| counters.calls + counters.connections;
+        wait_until("another call", || tried(discovery.counters()) > tried(before));
+    }
+    assert_eq!(mixer.report().revision, 1);
+    discovery.behave(Behavior::default());
+    discovery.cut_off(0, false);
+    wait_for_revision(&mut mixer, changed.revision);
+}
+
+/// Each region has versions of its own; together again, each mixer has all changes of both, without a whole list.
+#[test]
+fn regions_with_different_versions_meet_again() {
+    let all = servers(40);
+    let mut regions = Regions::start(2, &all, Behavior::default()).unwrap();
+    let mut mixers: Vec<HollowMixer> = regions.addresses().iter().map(|at| mixer(0, *at, 40)).collect();
+    let first = regions.revisions();
+    mixers.iter_mut().zip(&first).for_each(|(mixer, revision)| drop(wait_for_revision(mixer, *revision)));
+    regions.part();
+    let gone = |place: usize| ListedServer { phase: Phase::Gone, ..all[place].clone() };
+    for (region, places) in [(0, vec![0, 1, 2]), (1, vec![3])] {
+        let published = places.into_iter().map(|place| regions.publish(region, vec![gone(place)]));
+        let last = published.last().unwrap();
+        assert!(last[1 - region].is_none());
+        wait_for_revision(&mut mixers[region], last[region].unwrap().revision);
+    }
+    assert_eq!([37, 39], [0, 1].map(|region: usize| mixers[region].report().servers));
+    let joined = regions.join();
+    for (mixer, published) in mixers.iter_mut().zip(joined) {
+        assert_eq!(wait_for_revision(mixer, published.unwrap().revision).servers, 36);
+    }
+    assert_eq!(regions.counters().whole_lists, 2);
+}
+
+fn watch(address: SocketAddr, query: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(MAX_WAIT)).unwrap();
+    write!(stream, "GET /api/targets{query} HTTP/1.1\r\nHost: test\r\n\r\n").unwrap();
+    stream
+}
+
+/// One that asks for list after list and reads nothing is closed; the others hear of the change.
+#[test]
+fn one_slow_watcher_among_860_is_closed_and_the_others_are_served() {
+    let discovery = discovery(2_000, Behavior::default());
+    let address = discovery.addresses[0];
+    let mut slow = watch(address, "");
+    let calls = "GET /api/targets HTTP/1.1\r\nHost: test\r\n\r\n".repeat(200);
+    slow.write_all(calls.as_bytes()).unwrap();
+    let mut watchers: Vec<TcpStream> = (0..859).map(|_| watch(address, "?index=1&wait=60000")).collect();
+    wait_until("all watch", || discovery.counters().watches == 859);
+    wait_until("the slow one is closed", || discovery.counters().slow_closed == 1);
+    discovery.publish(vec![stepped(&servers(1)[0])]);
+    for watcher in &mut watchers {
+        let mut head = [0; 15];
+        watcher.read_exact(&mut head).unwrap();
+        assert_eq!(&head, b"HTTP/1.1 200 OK");
+    }
+    assert_eq!(discovery.counters().change_answers, 859);
+}
+
+fn fleet(discovery: &Discovery, mixers: u32, processes: u32) -> FleetSetup {
+    FleetSetup {
+        mixers,
+        processes,
+        discovery: discovery.addresses.clone(),
+        settings: settings(mixers, 300),
+        seed: 3,
+        program: env!("CARGO_BIN_EXE_wharfhub-lab").into(),
+    }
+}
+
+/// A process of mixers dies while their lists are half written; started again, all have the list.
+#[test]
+fn mixers_killed_in_the_middle_of_a_list_come_back() {
+    let stall = Behavior { delivery: Delivery::StallAfter(20_000), ..Behavior::default() };
+    let discovery = discovery(300, stall);
+    let mut fleet = Fleet::start(fleet(&discovery, 6, 2)).unwrap();
+    wait_until("all have half a list", || discovery.counters().whole_lists >= 6);
+    assert!(fleet.report().unwrap().mixers.iter().all(|mixer| mixer.revision == 0));
+    fleet.kill(|place| place == 0);
+    assert_eq!(fleet.running(), 3);
+    discovery.behave(Behavior::default());
+    fleet.restore(|_| true).unwrap();
+    let report = fleet.await_revisions(&[1], MAX_WAIT.as_secs_f64()).unwrap();
+    assert_eq!(report.mixers.iter().map(|mixer| mixer.servers).collect::<Vec<_>>(), [300; 6]);
+    assert!(report.resident_bytes > 0 && report.cpu_s() > 0.0);
+}
+
+#[test]
+fn a_version_that_never_comes_is_an_error() {
+    let discovery = discovery(10, Behavior::default());
+    let mut fleet = Fleet::start(fleet(&discovery, 2, 1)).unwrap();
+    fleet.await_revisions(&[1], MAX_WAIT.as_secs_f64()).unwrap();
+    let error = fleet.await_revisions(&[99], 0.0).unwrap_err();
+    assert!(matches!(error, FleetError::TooLate { missing: 2, .. }), "{error}");
+}
+
+/// A limit that makes no sense is turned down before anything starts, by its key.
+#[rstest]
+#[case::no_mixer("mixers", |setup: &mut FleetSetup| setup.mixers = 0)]
+#[case::too_many_mixers("mixers", |setup: &mut FleetSetup| setup.mixers = 2_001)]
+#[case::too_many_processes("processes", |setup: &mut FleetSetup| setup.processes = 201)]
+#[case::more_processes_than_mixers("processes", |setup: &mut FleetSetup| setup.processes = 5)]
+#[case::no_discovery("discovery", |setup: &mut FleetSetup| setup.discovery.clear())]
+#[case::no_round("settings.round_s", |setup: &mut FleetSetup| setup.settings.round_s = f64::NAN)]
+#[case::no_time("settings.ask_within_s", |setup: &mut FleetSetup| setup.settings.ask_within_s = 0.0)]
+#[case::no_cell("settings.cells", |setup: &mut FleetSetup| setup.settings.cells = 0)]
+fn bad_limits_are_named(#[case] key: &str, #[case] spoil: fn(&mut FleetSetup)) {
+    let discovery = discovery(1, Behavior::default());
+    let mut setup = fleet(&discovery, 4, 2);
+    setup.program = "/nowhere".into();
+    spoil(&mut setup);
+    let error = Fleet::start(setup).err().unwrap();
+    assert!(error.to_string().starts_with(&format!("{key}: ")), "{error}");
+}
+
+#[test]
+fn a_host_turns_down_what_it_does_not_understand() {
+    let run = |input: &str| host::run(input.as_bytes(), Vec::new());
+    assert!(matches!(run(""), Err(HostError::Setup)));
+    assert!(matches!(run("{}\n"), Err(HostError::Setup)));
+    let setup = "{\"numbers\":[],\"discovery\":\"127.0.0.1:9\",\"settings\":\"{}\",\"seed\":1}\n";
+    assert!(run(setup).is_ok());
+    assert!(matches!(run(&format!("{setup}dance\n")), Err(HostError::UnknownCall(_))));
+    let setup = setup.replace("[]", "[4]");
+    assert!(matches!(run(&setup), Err(HostError::Mixer { number: 4, .. })));
+}
+
+#[test]
+fn a_host_process_ends_with_its_input() {
+    let discovery = discovery(5, Behavior::default());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_wharfhub-lab"));
+    command.arg("host").stdin(Stdio::piped()).stdout(Stdio::null()).stderr(Stdio::null());
+    let mut child = command.spawn().unwrap();
+    let mut input = child.stdin.take().unwrap();
+    let settings = miniserde::json::to_string(&settings(1, 5).text());
+    let address = discovery.addresses[0];
+    writeln!(input, "{{\"numbers\":[0],\"discovery\":\"{address}\",\"settings\":{settings},\"seed\":1}}")
+        .unwrap();
+    wait_until("the mixer asks", || discovery.counters().calls > 0);
+    drop(input);
+    assert!(child.wait().unwrap().success());
+}
+
+const WATCH: Call = Call::Watch { since: 5, wait_s: 3.0 };
+const HEARTBEAT: Call = Call::Watch { since: 5, wait_s: 0.0 };
+const NO_NEWS: Answer = Answer::Changes { since: 5 };
+
+/// What is answered at 10 s, having come at 9 s, with version 5 in force and versions from 3 on remembered.
+#[rstest]
+#[case::whole_list(Call::WholeList, 5, Some(Answer::WholeList))]
+#[case::heartbeat(HEARTBEAT, 5, Some(NO_NEWS))]
+#[case::watch_without_news(WATCH, 5, None)]
+#[case::watch_with_news(WATCH, 6, Some(NO_NEWS))]
+#[case::from_too_long_ago(Call::Watch { since: 2, wait_s: 3.0 }, 5, Some(Answer::WholeList))]
+#[case::of_another_discovery(Call::Watch { since: 9, wait_s: 3.0 }, 5, Some(Answer::WholeList))]
+fn calls_are_answered_by_the_version_they_know(
+    #[case] call: Call,
+    #[case] revision: u64,
+    #[case] expected: Option<Answer>,
+) {
+    let mut queue = CallQueue::new(0.0);
+    queue.push(9.0, 1, call);
+    let answers = queue.poll(10.0, revision, |since| (3..=revision).contains(&since));
+    assert_eq!(answers, expected.map(|answer| (1, answer)).into_iter().collect::<Vec<_>>());
+    assert_eq!(queue.watches(), usize::from(expected.is_none()));
+    // A watch without news is over when its time is.
+    let over = queue.poll(13.0, revision, |_| true);
+    assert_eq!(over, if expected.is_none() { vec![(1, NO_NEWS)] } else { vec![] });
+}
+
+#[test]
+fn calls_take_turns_and_those_that_wait_too_long_fail() {
+    let mut queue = CallQueue::new(0.5);
+    (0..6).for_each(|key| queue.push(0.0, key, Call::WholeList));
+    assert_eq!(queue.next_at(), Some(0.5));
+    assert_eq!(queue.poll(0.4, 1, |_| true), []);
+    assert_eq!(queue.poll(1.0, 1, |_| true), [(0, Answer::WholeList), (1, Answer::WholeList)]);
+    let answers = queue.poll(9.0, 1, |_| true);
+    let (served, failed) = (Answer::WholeList, Answer::Overloaded);
+    assert_eq!(answers, [(2, served), (3, served), (4, failed), (5, failed)]);
+    assert_eq!((queue.most_queued(), queue.next_at()), (6, None));
+    // The next one finds it idle again.
+    queue.push(20.0, 7, Call::WholeList);
+    assert_eq!(queue.next_at(), Some(20.5));
+}
+
+#[test]
+fn a_line_predicts_the_size_that_was_kept_out() {
+    let points = [50.0, 100.0, 215.0, 430.0].map(|x| (x, 3.0 + 0.5 * x));
+    let fit = LineFit::of(&points).unwrap();
+    assert!((fit.base - 3.0).abs() < 1e-6 && (fit.slope - 0.5).abs() < 1e-9 && fit.residual < 1e-9);
+    assert!(fit.error(860.0, 433.0) < 1e-9);
+    assert!((fit.error(860.0, 866.0) - 0.5).abs() < 1e-9);
+    assert_eq!(LineFit::of(&[(50.0, 1.0), (50.0, 2.0)]), None);
+}
+
+#[test]
+fn propagation_counts_a_later_version_for_those_before_it() {
+    let published = [1, 2].map(|revision| Published { revision, at_us: revision * 1_000_000 });
+    let mixer = |records: &[(u64, u64)]| MixerReport {
+        number: 0,
+        cpu_s: 0.0,
+        revision: 0,
+        servers: 0,
+        in_force: records
+            .iter()
+            .map(|(revision, at_us)| InForce { revision: *revision, at_us: *at_us })
+            .collect(),
+        dropped: 0,
+        failure: None,
+    };
+    let (both, one) = (mixer(&[(1, 1_100_000), (2, 2_300_000)]), mixer(&[(2, 2_500_000)]));
+    let of = Propagation::of(&published, &[&both, &one]);
+    let expected = Propagation { median_s: 0.3, p99_s: 1.5, last_s: 1.5, pairs: 4, missing: 0 };
+    assert_eq!(of, expected);
+    assert_eq!(Propagation::of(&published, &[&mixer(&[(1, 1_000_000)])]).missing, 1);
+}
+
+/// A fleet is measured whole: each change comes into force at each mixer, by one answer and one call.
+#[test]
+fn a_measured_point_counts_two_messages_for_a_change_and_a_mixer() {
+    let load = Load {
+        mixers: 4,
+        servers: 30,
+        changes_per_s: 10.0,
+        changes: 3,
+        in_step: true,
+        idle_s: 0.01,
+        round_s: 0.01,
+        ask_within_s: 0.2,
+    };
+    let program = env!("CARGO_BIN_EXE_wharfhub-lab").into();
+    let mut bench = wharfhub_lab::fleet::bench::Bench::start(&load, program, 2, 1).unwrap();
+    let point = bench.measure(&load).unwrap();
+    assert_eq!((point.propagation.pairs, point.propagation.missing), (12, 0));
+    assert_eq!((point.start.whole_lists, point.change.change_answers), (4, 12));
+}
