--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,7 +4,7 @@
 //! must never judge a replica, and never ask a discovery that did not wait again at once.
 
 use super::http::{Message, Reader, Start};
-use super::{came_up, Conn, ConnKey, Due, ListInForce, Mixer, Phase};
+use super::{came_up, Conn, ConnKey, Due, Mixer, Phase};
 use crate::api::{Outcome, ReplicaEntry};
 use crate::choices::asking;
 use miniserde::json::Value;
@@ -203,7 +203,7 @@
         }
         self.take_entries(list.full, list.entries);
         if let Some(observer) = &mut self.list_observer {
-            observer(ListInForce { revision: self.revision, servers: self.directory.count() });
+            observer(super::ListInForce { revision: self.revision, servers: self.directory.count() });
         }
         true
     }
