--- a/crates/wharfhub-lab/src/experiments/mod.rs
+++ b/crates/wharfhub-lab/src/experiments/mod.rs
@@ -3,6 +3,7 @@
 mod data_path;
 mod decisions;
 mod deployments;
+mod scale;
 mod two_phase;
 
 use crate::report::ReportError;
@@ -22,6 +23,8 @@
     pub out: PathBuf,
     /// On sockets, against the daemon.
     pub real: bool,
+    /// Only this part, where it has parts.
+    pub part: Option<String>,
 }
 
 /// Why an experiment has no result.
@@ -33,6 +36,9 @@
     /// Its result can't be shown.
     #[error(transparent)]
     Report(#[from] ReportError),
+    /// Its fleet can't be had.
+    #[error(transparent)]
+    Fleet(#[from] crate::fleet::FleetError),
     /// The system.
     #[error("{0}")]
     Io(#[from] std::io::Error),
@@ -55,7 +61,7 @@
 }
 
 /// All of them.
-pub const ALL: [Experiment; 4] = [
+pub const ALL: [Experiment; 5] = [
     Experiment {
         name: "data-path",
         what: "the daemon's CPU for a query, by the number of its parts",
@@ -71,6 +77,11 @@
         what: "both kinds of deployment on quiet days and with each of their troubles",
         run: deployments::run,
     },
+    Experiment {
+        name: "scale",
+        what: "memory, CPU, messages and time for a change by mixers, servers and changes a second",
+        run: scale::run,
+    },
     Experiment {
         name: "two-phase",
         what: "work saved and service kept with queries in two phases, on and off side by side",
--- a/crates/wharfhub-lab/src/lib.rs
+++ b/crates/wharfhub-lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod daemon;
 pub mod experiments;
 pub mod fit;
+pub mod fleet;
 pub mod journal;
 pub mod links;
 pub mod load;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -575,6 +575,9 @@
             self.log(&format!("discovery: revision {:?}, {count} lines, full {}", self.revision, list.full));
         }
         self.take_entries(list.full, list.entries);
+        if let Some(observer) = &mut self.list_observer {
+            observer(super::ListInForce { revision: self.revision, servers: self.directory.count() });
+        }
         true
     }
 
