--- /dev/null
+++ b/crates/wharfhub-lab/tests/standin.rs
@@ -0,0 +1,65 @@
+//! Stand-in leaf servers on loopback sockets.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use wharfhub_lab::rules::Rules;
+use wharfhub_lab::site::{cardiff, Day, Layout, Part, Query, Site, Trouble};
+use wharfhub_lab::standin::{self, Shared};
+
+const SLOW_FACTOR: f64 = 20.0;
+const PART_S: f64 = 0.005;
+
+/// Opens the one leaf server of a day on which a part takes so long (seconds).
+fn open(part_s: f64, troubles: Vec<(f64, f64, Trouble)>) -> SocketAddr {
+    let site = Site { layout: Layout::Ring(1, 1), ..cardiff() };
+    let day = Day { boxes: 1, mixers: 1, troubles, site, ..Day::default() };
+    let part = Part { shard: 0, weight: 1.0, work_s: part_s, matches: true };
+    let query = Query {
+        at: 0.0,
+        class: 0,
+        tenant: 0,
+        key: 1,
+        parts: vec![part],
+        wait_s: 10.0,
+        leaves_s: f64::MAX,
+        mixer: 0,
+    };
+    let shared = Arc::new(Shared {
+        queries: vec![query],
+        start: Instant::now(),
+        rules: Mutex::new(Rules::new(&day, 0.0)),
+        work: Mutex::new((vec![0.0; day.site.classes.len()], 0, 0)),
+        day,
+    });
+    standin::open(&shared, 0, false).expect("a loopback port is free")
+}
+
+/// Sends the part as a mixer does; gives the answer and the time it took.
+fn ask(server: SocketAddr) -> (String, Duration) {
+    let mut stream = TcpStream::connect(server).expect("the leaf server listens");
+    let rest = "qq0-0.0 0 d=9000 1\nx";
+    let frame = [&(rest.len() as u32).to_be_bytes()[..], rest.as_bytes()].concat();
+    let asked = Instant::now();
+    stream.write_all(&frame).expect("the frame is taken");
+    let mut head = [0; 4];
+    stream.read_exact(&mut head).expect("an answer begins");
+    let mut answer = vec![0; u32::from_be_bytes(head) as usize];
+    stream.read_exact(&mut answer).expect("the answer is whole");
+    (String::from_utf8(answer).expect("the answer is text"), asked.elapsed())
+}
+
+#[test]
+fn a_part_that_takes_no_time_is_answered() {
+    let (answer, _) = ask(open(0.0, Vec::new()));
+    assert!(answer.starts_with("aq0-0.0 served "), "{answer}");
+}
+
+#[test]
+fn a_server_that_a_trouble_slows_takes_as_many_times_as_long() {
+    let slow = (0.0, f64::MAX, Trouble::SomeSlow(1.0, SLOW_FACTOR));
+    let (answer, took) = ask(open(PART_S, vec![slow]));
+    assert!(answer.starts_with("aq0-0.0 served "), "{answer}");
+    assert!(took.as_secs_f64() >= PART_S * SLOW_FACTOR, "{took:?}");
+}
