--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -79,14 +79,6 @@
             .into_bytes()
     }
 
-    /// The version from which it asks.
-    fn since(self) -> Option<u64> {
-        match self {
-            Call::WholeList => None,
-            Call::Changes { since } | Call::Watch { since, .. } => Some(since),
-        }
-    }
-
     fn waits(self) -> bool {
         matches!(self, Call::Watch { .. })
     }
@@ -96,6 +88,8 @@
 #[derive(Clone, Copy, Debug)]
 struct OpenCall {
     call: Call,
+    /// The version that we had then.
+    known: Option<u64>,
     made_at: f64,
     timeout_s: f64,
 }
@@ -306,6 +300,7 @@
         if self.link.reopen_at.is_some_and(|at| self.now + TIMER_STEP_S < at) {
             return;
         }
+        let heartbeats_went_on = self.link.reopen_at.take().is_some();
         if let Some(key) = self.link.watch {
             let idle = matches!(self.conns.get(key), Some(Conn::Discovery(conn)) if conn.open_call.is_none());
             if idle {
@@ -314,8 +309,8 @@
             return;
         }
         let Some(key) = self.open_discovery(Role::Watch) else { return };
-        if self.link.reopen_at.take().is_some() {
-            return self.continue_watch(key); // heartbeats have gone on: no other call is needed first
+        if heartbeats_went_on {
+            return self.continue_watch(key); // no other call is needed first
         }
         let call = match self.revision {
             Some(since) if !self.link.is_whole_list_wanted() => Call::Changes { since },
@@ -361,7 +356,7 @@
         let Some(address) = self.discovery else { return };
         let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) else { return };
         conn.out = call.text(&address.to_string());
-        conn.open_call = Some(OpenCall { call, made_at: self.now, timeout_s });
+        conn.open_call = Some(OpenCall { call, known: self.revision, made_at: self.now, timeout_s });
         // Guards against a machine that is not there: a watch's patience is for one that is.
         conn.due = self.now + if conn.up { timeout_s } else { timeout_s.min(UP_WITHIN_S) };
         self.agenda.add(conn.due, Due::Conn(key));
@@ -420,7 +415,7 @@
         let Some(open) = open_call else {
             return self.end_discovery(key, &DiscoveryError::NoAnswer);
         };
-        let news = match self.read_answer(open.call, message) {
+        let news = match self.read_answer(open, message) {
             Ok(news) => news,
             Err(error) => return self.end_discovery(key, &error),
         };
@@ -445,7 +440,7 @@
 
     /// Takes what an answer brings; says whether that was a version that we did not have. An answer that looks like the
     /// one before brings nothing, and is not read again: some answer whole lists to all calls.
-    fn read_answer(&mut self, call: Call, message: &Message) -> Result<bool, DiscoveryError> {
+    fn read_answer(&mut self, open: OpenCall, message: &Message) -> Result<bool, DiscoveryError> {
         let hash = hash_of(&message.body);
         let is_ok = message.start == (Start::Response { status: 200 });
         if is_ok && self.revision.is_some() && self.link.last_answer == Some(hash) {
@@ -453,10 +448,10 @@
         }
         let list = decode(message)?;
         let (before, told) = (self.revision, members::revision(&list));
-        // Two connections are read in no order: what was asked from an older version may be older than what we have.
-        let is_stale = call.since() != before && before.is_some() && told <= before;
+        // Two connections are read in no order: what was asked before the last list came may be older than that.
+        let is_stale = open.known != before && told <= before;
         let has_news = told.is_some() && told != before;
-        if !is_stale && (has_news || call.waits() || call == Call::WholeList || told.is_none()) {
+        if !is_stale && (has_news || open.call.waits() || open.call == Call::WholeList || told.is_none()) {
             if !self.take_list(&list) {
                 return Err(DiscoveryError::NoMembers);
             }
@@ -485,6 +480,8 @@
             self.agenda.add(self.now + ASK_AGAIN_S, Due::Ask);
         } else if did_not_wait {
             self.agenda.add(self.now + SOON_S, Due::Ask);
+        } else if !open.call.waits() && self.put_watch_off() {
+            // The heartbeats go on without it.
         } else if self.link.watch == Some(key) {
             self.continue_watch(key);
         } else {
@@ -506,10 +503,8 @@
         if let Some(silent) = self.link.watch {
             self.drop_conn(silent);
         }
-        let delay_s = self.link.heartbeat.reopen_delay_s(self.rng.rand_float());
-        if delay_s > 0.0 {
-            self.link.reopen_at = Some(self.now + delay_s);
-            return self.agenda.add(self.now + delay_s, Due::Ask);
+        if self.put_watch_off() {
+            return;
         }
         if let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) {
             conn.role = Role::Watch;
@@ -518,6 +513,16 @@
         self.ask();
     }
 
+    /// Puts the watch off where the fleet's heartbeats leave little of discovery's time; says whether it did.
+    fn put_watch_off(&mut self) -> bool {
+        let delay_s = self.link.heartbeat.reopen_delay_s(self.rng.rand_float());
+        if delay_s > 0.0 {
+            self.link.reopen_at = Some(self.now + delay_s);
+            self.agenda.add(self.now + delay_s, Due::Ask);
+        }
+        delay_s > 0.0
+    }
+
     /// Closes both connections, and forgets how discovery answered: the next one is another.
     pub(super) fn leave_discovery(&mut self) {
         for key in self.link.connections().collect::<Vec<_>>() {
