Index the members that are unready or gone, so that one change does not scan the list

Seen by reading: each change of the list looked at all members three times (`take_entries`, `forget_gone` with all names as well, `ready_if_told`), a whole list compared each member with each line (`named.contains`), and a drain mark each name with each mark.

Now members.rs keeps two indexes, brought up to date where a member changes; a whole list and drain marks use sets. The module's own scan (`Aggregator::take_list`, logic.rs) is as before. CPU before and after was not measured yet on this commit.

--- a/src/members.rs
+++ b/src/members.rs
@@ -7,7 +7,7 @@
 use crate::api::{Lifecycle, ReplicaEntry, ReplicaId};
 use miniserde::json::{self, Number, Object, Value};
 use miniserde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// The zone of a replica whose zone the settings do not name.
@@ -55,12 +55,16 @@
 }
 
 /// The replicas that there are. An id is never used twice: a name that was forgotten gets another one.
+///
+/// What a change of the list calls for is found by index, so that its cost does not grow with the list.
 #[derive(Debug, Default)]
 pub struct Directory {
     members: BTreeMap<ReplicaId, Member>,
     names: BTreeMap<String, ReplicaId>,
+    unready: BTreeSet<ReplicaId>, // index: members to which nothing new may go
+    gone: BTreeSet<ReplicaId>,    // index: of these, the ones that no list names any more
     last_id: u32,
-    drains: Vec<String>, // that the operator marked
+    drains: BTreeSet<String>, // that the operator marked
     zones: Vec<String>,
 }
 
@@ -150,6 +154,11 @@
         self.names.get(name).copied()
     }
 
+    /// The name of a replica.
+    pub fn name(&self, id: ReplicaId) -> Option<&str> {
+        self.members.get(&id).map(|member| member.name.as_str())
+    }
+
     /// All names, each with its id.
     pub fn ids(&self) -> impl Iterator<Item = (&String, ReplicaId)> {
         self.names.iter().map(|(name, id)| (name, *id))
@@ -185,11 +194,45 @@
         self.members.len()
     }
 
+    /// The replicas to which nothing new may go: they drain, or are gone.
+    pub fn unready(&self) -> impl Iterator<Item = &Member> {
+        self.unready.iter().filter_map(|id| self.members.get(id))
+    }
+
+    /// Whether there is a replica to which something new may go.
+    pub fn has_ready(&self) -> bool {
+        self.members.len() > self.unready.len()
+    }
+
+    /// How many replicas the list names.
+    pub fn listed(&self) -> usize {
+        self.members.len() - self.gone.len()
+    }
+
     /// Forgets what is gone and has no connection left. Guards the memory: machines are replaced without end,
     /// and each new one has a name of its own.
     pub fn forget_gone(&mut self) {
-        self.members.retain(|_, member| !member.gone() || !member.conns.is_empty());
-        self.names.retain(|_, id| self.members.contains_key(id));
+        let unused = |id: &&ReplicaId| self.members.get(id).is_none_or(|member| member.conns.is_empty());
+        let forgotten: Vec<ReplicaId> = self.gone.iter().filter(unused).copied().collect();
+        for id in forgotten {
+            if let Some(member) = self.members.remove(&id) {
+                self.names.remove(&member.name);
+            }
+            self.unready.remove(&id);
+            self.gone.remove(&id);
+        }
+    }
+
+    /// Brings the indexes in line with what is known of a replica now.
+    fn index(&mut self, id: ReplicaId) {
+        let Some(member) = self.members.get(&id) else { return };
+        for (index, belongs) in [(&mut self.unready, !member.ready), (&mut self.gone, member.gone())] {
+            if belongs {
+                index.insert(id);
+            } else {
+                index.remove(&id);
+            }
+        }
     }
 
     /// Reads a list in discovery's form. Unknown keys and senseless lines are passed over.
@@ -198,24 +241,29 @@
         let Value::Object(list) = list else { return None };
         let Some(Value::Array(lines)) = list.get("members") else { return None };
         let full = !matches!(list.get("complete"), Some(Value::Bool(false)));
-        let mut named = Vec::new();
         let mut entries = Vec::new();
         for line in lines.iter() {
             let Value::Object(line) = line else { continue };
-            let Some(entry) = self.line(line) else { continue };
-            named.push(entry.id);
-            entries.push(entry);
+            entries.extend(self.line(line));
         }
         if full {
-            for (id, member) in self.members.iter_mut() {
-                if !named.contains(id) {
-                    (member.ready, member.listed) = (false, None);
-                }
-            }
+            self.withdraw_unnamed(&entries);
         }
         Some(List { revision, full, entries })
     }
 
+    /// A whole list came: whatever has no line in it is gone.
+    fn withdraw_unnamed(&mut self, entries: &[ReplicaEntry]) {
+        let named: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.id).collect();
+        let unnamed: Vec<ReplicaId> = self.members.keys().filter(|id| !named.contains(id)).copied().collect();
+        for id in unnamed {
+            if let Some(member) = self.members.get_mut(&id) {
+                (member.ready, member.listed) = (false, None);
+            }
+            self.index(id);
+        }
+    }
+
     fn line(&mut self, line: &Object) -> Option<ReplicaEntry> {
         let name = text(line, "id")?;
         let lifecycle = match text(line, "phase")? {
@@ -263,15 +311,18 @@
             entry.lifecycle = Lifecycle::Draining;
         }
         member.ready = entry.lifecycle == Lifecycle::Ready;
+        self.index(id);
         Some(entry)
     }
 
     /// The operator's drain marks, all of them; gives the lines that hold now for those concerned.
     pub fn mark_drains(&mut self, drains: Vec<String>) -> Vec<ReplicaEntry> {
-        let before = std::mem::replace(&mut self.drains, drains);
-        let changed = |name: &String| before.contains(name) != self.drains.contains(name);
-        let concerned: Vec<ReplicaId> =
-            self.names.iter().filter(|(name, _)| changed(name)).map(|(_, id)| *id).collect();
+        let before = std::mem::replace(&mut self.drains, drains.into_iter().collect());
+        let changed = before.symmetric_difference(&self.drains);
+        let concerned: Vec<ReplicaId> = changed.filter_map(|name| self.names.get(name)).copied().collect();
         concerned.into_iter().filter_map(|id| self.entry(id)).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -263,7 +263,7 @@
                     writeln!(out, "svc_transactions_total{{group=\"{group}\",state=\"{state}\"}} {count}");
             }
         }
-        let listed = self.directory.members().filter(|member| !member.gone()).count();
+        let listed = self.directory.listed();
         let plain = [
             ("sends_total", figures.sends),
             ("current", self.core.open() as u64),
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -209,7 +209,7 @@
     pub(super) fn take_entries(&mut self, full: bool, entries: Vec<ReplicaEntry>) {
         self.core.list(self.now, full, entries, &mut self.commands);
         // Nothing new may go to what drains or is gone, not even what still waits for its connection.
-        let unready = self.directory.members().filter(|member| !member.ready);
+        let unready = self.directory.unready();
         let unready: Vec<(ConnKey, bool)> =
             unready.flat_map(|member| member.conns.iter().map(|key| (*key, member.gone()))).collect();
         for (key, gone) in unready {
@@ -228,8 +228,7 @@
     }
 
     pub(super) fn ready_if_told(&mut self) {
-        let told = self.directory.members().any(|member| member.ready);
-        if told && self.phase == Phase::Starting {
+        if self.phase == Phase::Starting && self.directory.has_ready() {
             self.phase = Phase::Serving;
             self.log("ready: serving");
         }
