Find the key at fault from the top down, in tries that do not grow with a list

Cause: `settings_fault::of` tried up to six values in each of 2,000 places, writing and reading the whole text each time, and it looked at no place beyond these.

Now it goes down from the top: only what is at fault is looked into, lists are halved, and what stands beside the fault is put aside.

--- a/src/settings_fault.rs
+++ b/src/settings_fault.rs
@@ -1,93 +1,170 @@
-//! Which key of a text is at fault where it could not be decoded, and what stands there.
+//! Finds the key at fault in a text that could not be decoded.
 //!
-//! This file owns the search for it: another value is tried in each place until the text decodes. It must never know a key,
-//! a type or a setting, and never take a text for sound that its decoder turned down.
+//! This file owns the search: from the top down, each value of an object is replaced, and parts of a list are left out, until
+//! the text decodes; what had to change is at fault, and the search goes on inside it. The number of tries grows with the
+//! depth and with the keys of the objects on the way, not with the length of a list. It must never know a key, a type or a
+//! setting, and never take a text for valid that its decoder turned down.
 
 use miniserde::json::{self, Array, Number, Object, Value};
 use miniserde::Deserialize;
+use std::ops::Range;
 
-/// Places that are looked at, at most. Guards against texts made to cost time.
-const PLACES_MOST: usize = 2000;
-/// Longest value that is shown.
-const SHOWN_MOST: usize = 60;
+/// Longest value that is shown (characters).
+const MAX_SHOWN: usize = 60;
+/// Deepest value that is looked at.
+const MAX_DEPTH: usize = 64;
+
+/// What a value is called that nothing but its absence makes decodable.
+const OTHER_FORM: &str = "not of the expected form, or lacks a key";
 
 /// Says what keeps the text from being a `T`, which it is not: the key and its value, where a single one is at fault.
 pub fn of<T: Deserialize>(text: &str) -> String {
     let Ok(mut whole) = json::from_str::<Value>(text) else { return "not JSON, or cut off".into() };
-    let mut ways = Vec::new();
-    places(&whole, &mut Vec::new(), &mut ways);
-    // The deepest place comes first: an object would do as well as the one key in it that is wrong.
-    ways.sort_by_key(|way| std::cmp::Reverse(way.len()));
-    for way in ways {
-        let Some(place) = at(&mut whole, &way) else { continue };
-        let own = std::mem::replace(place, Value::Null);
-        let shown: String = json::to_string(&own).chars().take(SHOWN_MOST).collect();
-        for (other, kind) in others() {
-            // Where a number of another kind would do, the one that is there is out of its bounds.
-            let number = matches!((&own, &other), (Value::Number(_), Value::Number(_)));
-            if let Some(place) = at(&mut whole, &way) {
-                *place = other;
-            }
-            if json::from_str::<T>(&json::to_string(&whole)).is_ok() {
-                let what = if number { "no whole number that fits" } else { kind };
-                return format!("{}: {shown} is {what}", name(&way));
-            }
+    let mut path = Vec::new();
+    let mut fault = None;
+    while path.len() < MAX_DEPTH {
+        let Some(found) = faulty_child::<T>(&mut whole, &path) else { break };
+        if path.is_empty() {
+            shrink_siblings::<T>(&mut whole, &found);
         }
-        if let Some(place) = at(&mut whole, &way) {
-            *place = own;
+        path.push(found.step);
+        fault = Some(found.wanted);
+    }
+    match (fault, value_at(&mut whole, &path)) {
+        (Some(wanted), Some(value)) => {
+            let shown: String = json::to_string(value).chars().take(MAX_SHOWN).collect();
+            match path.split_last() {
+                Some((Step::Place(place), list)) if wanted == OTHER_FORM => {
+                    format!("{}: entry {place}, {shown}, is {wanted}", name(list))
+                }
+                _ => format!("{}: {shown} is {wanted}", name(&path)),
+            }
         }
+        _ => "not of the expected form: several keys are wrong, or a needed one is missing".into(),
     }
-    "not of the expected form: several keys are wrong, or a needed one is missing".into()
 }
 
-/// What is tried in a place, and what it is called that does not stand there.
-fn others() -> [(Value, &'static str); 6] {
+/// A step from a value to one inside it.
+#[derive(Clone, Debug, PartialEq)]
+enum Step {
+    Key(String),
+    Place(usize),
+}
+
+/// A value without which, or with another one in its place, the text decodes.
+struct Fault {
+    step: Step,
+    /// What the value is not.
+    wanted: &'static str,
+    /// What may stand there.
+    replacement: Value,
+}
+
+/// What is tried in a place, and what a value is called that this replaces.
+fn replacements() -> [(Value, &'static str); 6] {
     [
         (Value::Number(Number::U64(1)), "no number"),
         (Value::String(String::new()), "no text"),
         (Value::Bool(true), "neither true nor false"),
         (Value::Array(Array::new()), "no list of the expected form, or an entry of it lacks a key"),
         (Value::Object(Object::new()), "no object with its keys"),
-        (Value::Null, "not of the expected form, or lacks a key"),
+        (Value::Null, OTHER_FORM),
     ]
 }
 
-/// A step from a value to one inside it.
-#[derive(Clone)]
-enum Step {
-    Key(String),
-    Place(usize),
+fn decodes<T: Deserialize>(whole: &Value) -> bool {
+    json::from_str::<T>(&json::to_string(whole)).is_ok()
 }
 
-fn places(value: &Value, way: &mut Vec<Step>, all: &mut Vec<Vec<Step>>) {
-    let mut into = |step: Step, inner: &Value| {
-        if all.len() < PLACES_MOST {
-            way.push(step);
-            all.push(way.clone());
-            places(inner, way, all);
-            way.pop();
+/// The one value directly inside the value at `path` that is at fault, if there is one.
+fn faulty_child<T: Deserialize>(whole: &mut Value, path: &[Step]) -> Option<Fault> {
+    match value_at(whole, path)? {
+        Value::Object(object) => {
+            let keys: Vec<Step> = object.keys().map(|key| Step::Key(key.clone())).collect();
+            keys.into_iter().find_map(|step| replaceable::<T>(whole, path, step))
         }
-    };
-    match value {
-        Value::Object(object) => object.iter().for_each(|(key, inner)| into(Step::Key(key.clone()), inner)),
         Value::Array(values) => {
-            values.iter().enumerate().for_each(|(place, inner)| into(Step::Place(place), inner));
+            let all = 0..values.len();
+            let place = faulty_place::<T>(whole, path, all)?;
+            let removed = Fault { step: Step::Place(place), wanted: OTHER_FORM, replacement: Value::Null };
+            Some(replaceable::<T>(whole, path, Step::Place(place)).unwrap_or(removed))
         }
-        _ => {}
+        _ => None,
+    }
+}
+
+/// Whether another value in that place makes the text decode. The value itself stays as it was.
+fn replaceable<T: Deserialize>(whole: &mut Value, path: &[Step], step: Step) -> Option<Fault> {
+    let place: Vec<Step> = path.iter().cloned().chain([step.clone()]).collect();
+    let own = std::mem::replace(value_at(whole, &place)?, Value::Null);
+    let mut fault = None;
+    for (replacement, wanted) in replacements() {
+        // Where a number of another kind would do, the one that is there is out of its bounds.
+        let number = matches!((&own, &replacement), (Value::Number(_), Value::Number(_)));
+        *value_at(whole, &place)? = replacement.clone();
+        if decodes::<T>(whole) {
+            let wanted = if number { "no whole number that fits" } else { wanted };
+            fault = Some(Fault { step, wanted, replacement });
+            break;
+        }
+    }
+    *value_at(whole, &place)? = own;
+    fault
+}
+
+/// The one entry of a list without which the text decodes, found by halves.
+fn faulty_place<T: Deserialize>(whole: &mut Value, path: &[Step], within: Range<usize>) -> Option<usize> {
+    let mut within = within;
+    if within.is_empty() || !decodes_without::<T>(whole, path, within.clone())? {
+        return None;
     }
+    while within.len() > 1 {
+        let middle = within.start + within.len() / 2;
+        let halves = [within.start..middle, middle..within.end];
+        within = halves
+            .into_iter()
+            .find(|half| decodes_without::<T>(whole, path, half.clone()).unwrap_or(false))?;
+    }
+    Some(within.start)
+}
+
+/// Whether the text decodes without these entries of the list at `path`.
+fn decodes_without<T: Deserialize>(whole: &mut Value, path: &[Step], without: Range<usize>) -> Option<bool> {
+    let Value::Array(list) = value_at(whole, path)? else { return None };
+    let own = std::mem::take(list);
+    let kept = own.iter().enumerate().filter(|(place, _)| !without.contains(place));
+    *list = kept.map(|(_, value)| value.clone()).collect();
+    let decodes = decodes::<T>(whole);
+    *value_at(whole, path)? = Value::Array(own);
+    Some(decodes)
+}
+
+/// Puts short values in place of what stands beside the value at fault. Guards the time of the search: a list of servers
+/// may be a thousand times as long as the settings beside it.
+fn shrink_siblings<T: Deserialize>(whole: &mut Value, fault: &Fault) {
+    let Value::Object(object) = whole else { return };
+    let keys: Vec<Step> = object.keys().map(|key| Step::Key(key.clone())).collect();
+    let Some(place) = value_at(whole, std::slice::from_ref(&fault.step)) else { return };
+    let own = std::mem::replace(place, fault.replacement.clone());
+    for step in keys.into_iter().filter(|step| *step != fault.step) {
+        if let Some(Fault { replacement, .. }) = replaceable::<T>(whole, &[], step.clone()) {
+            value_at(whole, &[step]).into_iter().for_each(|value| *value = replacement.clone());
+        }
+    }
+    value_at(whole, std::slice::from_ref(&fault.step)).into_iter().for_each(|value| *value = own.clone());
 }
 
-fn at<'a>(whole: &'a mut Value, way: &[Step]) -> Option<&'a mut Value> {
-    way.iter().try_fold(whole, |value, step| match (value, step) {
+fn value_at<'a>(whole: &'a mut Value, path: &[Step]) -> Option<&'a mut Value> {
+    path.iter().try_fold(whole, |value, step| match (value, step) {
         (Value::Object(object), Step::Key(key)) => object.get_mut(key),
         (Value::Array(values), Step::Place(place)) => values.get_mut(*place),
         _ => None,
     })
 }
 
-fn name(way: &[Step]) -> String {
+fn name(path: &[Step]) -> String {
     let mut name = String::new();
-    for step in way {
+    for step in path {
         match step {
             Step::Key(key) if name.is_empty() => name.push_str(key),
             Step::Key(key) => name.push_str(&format!(".{key}")),
@@ -96,3 +173,6 @@
     }
     name
 }
+
+#[cfg(test)]
+mod tests;
