Lift the caps under 1,024 servers: values of the store, YAML, the state at an upgrade

Caps that a list of a fleet's size met, and what they are now: - a value of the store, and the body that brings it: 64 KiB (some 470 servers) -> 4 MiB, all values of a node together 16 MiB, a message between nodes twice a value, its queue twice a message; bodies of queries keep their 64 KiB, and without a store so do all. - YAML: 1 MiB -> 16 MiB, the same for JSON, which had none; the file is read no further. - the state that a successor is told: 4 MiB -> 48 MiB. Lines are no longer searched from their beginning at each read. - `store: draining [NAMES]` counts the names where they are more than 20. Beyond each stands a clear error (413, 400, `more than bytes`, `beyond the store's limits`).

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -7,12 +7,15 @@
 use super::http::{self, HttpError, Message, Reader, Start};
 use super::{opensearch, platform, Conn, ConnKey, Due, Mixer, ACCEPT_AGAIN_S};
 use crate::core::{Asked, RequestKey, Style};
+use crate::store::MAX_VALUE_BYTES;
 use mio::net::TcpStream;
 use slotmap::Key;
 use std::io::{self, Read, Write};
 
-/// Longest body of a client.
+/// Longest body of a client's query (bytes).
 const BODY_MOST: usize = 64 * 1024;
+/// Pages of the store, where it is set up: the rest of their target is the key.
+const STORE_PAGES: &str = "/-/store/";
 /// How long a client may take over one request, may stay without one, may take to read an answer, and may
 /// linger after a last one. Guards the descriptors against clients that connect and say nothing, or endlessly
 /// little: each hears of it, or is cut off, within 3 s of connecting.
@@ -129,12 +132,17 @@
 
     fn insert_client(&mut self, stream: TcpStream, style: Style) -> ConnKey {
         let _ = stream.set_nodelay(true);
+        let reader = Reader::requests(BODY_MOST);
+        let reader = match self.store {
+            Some(_) => reader.with_larger_bodies(STORE_PAGES, MAX_VALUE_BYTES),
+            None => reader,
+        };
         let client = Client {
             stream,
             style,
             context: None,
             state: ClientState::Reading,
-            reader: Reader::requests(BODY_MOST),
+            reader,
             inbuf: Vec::new(),
             out: Vec::new(),
             written: 0,
@@ -404,7 +412,7 @@
     /// The pages for those who run the mixer and for what stands before it.
     pub(super) fn page(&mut self, key: ConnKey, message: &Message) {
         let Start::Request { method, target } = &message.start else { return };
-        if let Some(name) = target.strip_prefix("/-/store/").filter(|_| self.store.is_some()) {
+        if let Some(name) = target.strip_prefix(STORE_PAGES).filter(|_| self.store.is_some()) {
             return self.store_page(key, method, name, &message.body);
         }
         let (status, body) = match target.split('?').next().unwrap_or_default() {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -35,8 +35,8 @@
 /// The old process tells its load so often, and is taken for gone when it has not for so long (seconds).
 const LOAD_S: f64 = 0.02;
 const SILENCE_S: f64 = 5.0;
-/// Longest line.
-const LINE_MOST: usize = 4 * 1024 * 1024;
+/// Longest line (bytes). The state of a mixer that knows 10,000 servers in ten classes takes 22.5 MB.
+const MAX_LINE_BYTES: usize = 48 * 1024 * 1024;
 /// A new process leaves room for so many clients and connections to replicas, whatever the old one still holds.
 const ROOM_LEAST: usize = 16;
 
@@ -104,6 +104,7 @@
     /// Reads what has come; gives the whole lines. An error: it is over, after these.
     fn hear(&mut self, lines: &mut Vec<String>) -> io::Result<()> {
         let mut buffer = [0; 16 * 1024];
+        let unended = self.inbuf.len(); // what was here before holds no end of a line
         let result = loop {
             match self.stream.read(&mut buffer) {
                 Ok(0) => break Err(io::ErrorKind::UnexpectedEof.into()),
@@ -112,12 +113,12 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => break Err(error),
             }
-            if self.inbuf.len() > LINE_MOST {
+            if self.inbuf.len() > MAX_LINE_BYTES {
                 break Err(io::Error::other("a line without end"));
             }
         };
-        if let Some(end) = self.inbuf.iter().rposition(|byte| *byte == b'\n') {
-            let whole: Vec<u8> = self.inbuf.drain(..=end).collect();
+        if let Some(end) = self.inbuf[unended..].iter().rposition(|byte| *byte == b'\n') {
+            let whole: Vec<u8> = self.inbuf.drain(..=unended + end).collect();
             lines.extend(String::from_utf8_lossy(&whole).lines().map(String::from));
         }
         result
@@ -360,8 +361,7 @@
 
     fn load(&mut self) -> LoadJson {
         let Load { ids, held, elsewhere } = self.core.load();
-        let names: BTreeMap<ReplicaId, &String> = self.directory.ids().map(|(name, id)| (id, name)).collect();
-        let name = |id: &ReplicaId| names.get(id).map(|name| name.to_string());
+        let name = |id: &ReplicaId| self.directory.name(*id).map(String::from);
         LoadJson {
             ids,
             held: held as u32,
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -87,22 +87,43 @@
     ToTheEnd,
 }
 
+/// Requests that may have longer bodies than all others.
+#[derive(Clone, Copy)]
+struct LargerBodies {
+    target_prefix: &'static str,
+    max_bytes: usize,
+}
+
 /// Reads messages one after the other from a buffer that grows.
 pub struct Reader {
     responses: bool,
     body_most: usize,
+    larger: Option<LargerBodies>,
     head: Option<(Message, Body)>,
 }
 
 impl Reader {
     /// A reader of requests.
     pub fn requests(body_most: usize) -> Reader {
-        Reader { responses: false, body_most, head: None }
+        Reader { responses: false, body_most, larger: None, head: None }
     }
 
     /// A reader of responses.
     pub fn responses(body_most: usize) -> Reader {
-        Reader { responses: true, body_most, head: None }
+        Reader { responses: true, body_most, larger: None, head: None }
+    }
+
+    /// The same reader, but for requests whose target begins so, which may have bodies of up to so many bytes.
+    pub fn with_larger_bodies(mut self, target_prefix: &'static str, max_bytes: usize) -> Reader {
+        self.larger = Some(LargerBodies { target_prefix, max_bytes });
+        self
+    }
+
+    /// The longest body that a message may have which begins so.
+    fn max_body_bytes(&self, start: &Start) -> usize {
+        let Start::Request { target, .. } = start else { return self.body_most };
+        let larger = self.larger.filter(|larger| target.starts_with(larger.target_prefix));
+        larger.map_or(self.body_most, |larger| larger.max_bytes)
     }
 
     /// Whether a message has begun and its head is read.
@@ -130,6 +151,7 @@
                 None => return Ok(None),
             }
         }
+        let max_body_bytes = self.head.as_ref().map_or(0, |(message, _)| self.max_body_bytes(&message.start));
         let Some((message, body)) = self.head.as_mut() else { return Ok(None) };
         let whole = match body {
             Body::Length(length) if buffer.len() >= *length => {
@@ -138,11 +160,11 @@
             }
             Body::Length(_) => false,
             Body::Chunks { left, last } => {
-                read_chunks(buffer, &mut message.body, left, last, self.body_most)?
+                read_chunks(buffer, &mut message.body, left, last, max_body_bytes)?
             }
             Body::ToTheEnd => {
                 message.body.append(buffer);
-                if message.body.len() > self.body_most {
+                if message.body.len() > max_body_bytes {
                     return Err(HttpError::BodyTooLarge);
                 }
                 ended
@@ -218,7 +240,7 @@
                     return Err(HttpError::UnclearLength);
                 }
                 let length = length.parse::<usize>().map_err(|_| HttpError::BodyTooLarge)?;
-                if length > self.body_most {
+                if length > self.max_body_bytes(&message.start) {
                     return Err(HttpError::BodyTooLarge);
                 }
                 Ok(Body::Length(if bodiless { 0 } else { length }))
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -8,7 +8,7 @@
 use super::{token, ClientState, Conn, ConnKey, Due, Mixer, NetError, LISTENERS, STORE, STYLES, VRRP};
 use crate::net::http;
 use crate::settings::{StoreSetup, VrrpSetup};
-use crate::store::{Message, Operation, KEY_MOST, VALUE_MOST};
+use crate::store::{is_storable, Message, Operation, MAX_MESSAGE_BYTES};
 use crate::vrrp::{Advertisement, Event, Router, State};
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::Interest;
@@ -21,9 +21,12 @@
 /// How often the keys that matter here are read (seconds).
 const REFRESH_S: f64 = 2.0;
 const KEYS: [&str; 3] = ["members", "drains", "settings"];
-/// Operations that may wait, and bytes that may wait to be written to a peer.
-const WAITING_MOST: usize = 64;
-const PEER_OUT_MOST: usize = 4 * 1024 * 1024;
+/// Operations that may wait.
+const MAX_WAITING_OPERATIONS: usize = 64;
+/// Bytes that may wait to be written to a peer: a long value must not end its connection.
+const MAX_PEER_OUT_BYTES: usize = 2 * MAX_MESSAGE_BYTES;
+/// Names in a line of the log; of more their number is told.
+const MAX_LOGGED_NAMES: usize = 20;
 /// Where the virtual address cannot be listened on yet, it is tried again after this time (seconds).
 const BIND_AGAIN_S: f64 = 0.1;
 
@@ -205,7 +208,7 @@
     /// A page of the store: GET reads a key, PUT writes it.
     pub(super) fn store_page(&mut self, key: ConnKey, method: &str, name: &str, body: &[u8]) {
         let value = std::str::from_utf8(body).ok().map(String::from);
-        let sound = !name.is_empty() && name.len() <= KEY_MOST && body.len() <= VALUE_MOST && value.is_some();
+        let sound = value.as_deref().is_some_and(|value| is_storable(name, value));
         let value = match method {
             "GET" => None,
             "PUT" => value,
@@ -215,7 +218,7 @@
             return self.store_answer(key, 400, "{\"error\":\"a key or value that is not sound\"}");
         }
         let Some(store) = &mut self.store else { return };
-        if store.waiting.len() >= WAITING_MOST {
+        if store.waiting.len() >= MAX_WAITING_OPERATIONS {
             return self.store_answer(key, 503, "{\"error\":\"too many operations wait\"}");
         }
         store.waiting.push_back((Some(key), name.to_string(), value));
@@ -254,7 +257,7 @@
                 None => self.open_peer(node, address),
             };
             let Some(Conn::Peer(peer)) = key.and_then(|key| self.conns.get_mut(key)) else { continue };
-            if peer.out.len() < PEER_OUT_MOST {
+            if peer.out.len() < MAX_PEER_OUT_BYTES {
                 peer.out.extend(&bytes);
             }
             if let Some(key) = key {
@@ -289,7 +292,7 @@
                     let answer = self.store.as_mut().and_then(|store| store.setup.registers.serve(&message));
                     let Some(Conn::Peer(peer)) = self.conns.get_mut(key) else { return };
                     peer.out.extend(answer.map(|answer| answer.encode()).unwrap_or_default());
-                    let slow = peer.out.len() > PEER_OUT_MOST;
+                    let slow = peer.out.len() > MAX_PEER_OUT_BYTES;
                     if peer.turn(&mut Vec::new()).is_err() || slow {
                         return self.drop_peer(key);
                     }
@@ -376,7 +379,10 @@
             }
             "drains" => {
                 let drains: Vec<String> = miniserde::json::from_str(&value).unwrap_or_default();
-                self.log(&format!("store: draining {drains:?}"));
+                match drains.len() {
+                    0..=MAX_LOGGED_NAMES => self.log(&format!("store: draining {drains:?}")),
+                    count => self.log(&format!("store: draining {count} servers")),
+                }
                 let entries = self.directory.mark_drains(drains);
                 self.take_entries(false, entries);
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,12 +13,17 @@
 use miniserde::json::Value;
 use miniserde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fs::File;
+use std::io::Read;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 
 /// After SIGTERM clients are served for so long before the listeners close, where nothing else is set (seconds).
 const DRAIN_S: f64 = 0.7;
 
+/// Longest configuration that is read (bytes): a list of 10,000 servers, indented, takes 2.3 MB. Guards the memory.
+const MAX_CONFIG_BYTES: usize = 16 * 1024 * 1024;
+
 /// Memory that the mixer counts on, where the limits tell none (megabytes).
 const MEMORY_MB: f64 = 192.0;
 
@@ -604,6 +609,9 @@
 impl Config {
     /// Reads it from its text, JSON or YAML.
     pub fn decode(text: &[u8]) -> Result<Config, SettingsError> {
+        if text.len() > MAX_CONFIG_BYTES {
+            return Err(SettingsError::TooLong { max_bytes: MAX_CONFIG_BYTES });
+        }
         let text = std::str::from_utf8(text)?;
         // JSON is what begins like an object of it, and nothing else is; the rest is YAML.
         let yaml = (!text.trim_start().starts_with('{')).then(|| yaml::to_json(text)).transpose()?;
@@ -621,7 +629,10 @@
 
     /// Reads it from its file.
     pub fn read(path: &Path) -> Result<Config, SettingsError> {
-        Config::decode(&std::fs::read(path)?)
+        let mut text = Vec::new();
+        // One byte more than is taken tells that there is more.
+        File::open(path)?.take(MAX_CONFIG_BYTES as u64 + 1).read_to_end(&mut text)?;
+        Config::decode(&text)
     }
 
     /// Reads again what a running mixer takes up; a file of which any such thing is wrong, or which lacks a key
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -115,3 +115,43 @@
     let error = options.err().expect("it can't be served").to_string();
     assert!(error.contains(named), "{error}");
 }
+
+/// A configuration with a list of a fleet's size is read in either form; a wrong key beside it is named.
+#[rstest::rstest]
+fn a_known_list_of_a_fleets_size_is_read(#[values(1025, 5300, 10_000)] servers: usize) {
+    let json = include_str!("../../examples/config.json");
+    let line = r#"    {"id": "box-a", "host_port": "127.0.0.1:7101", "locality": "cardiff-bay", "cell": 0, "phase": "Ready", "up_since_ms": 0},
+"#;
+    assert!(json.contains(line));
+    let json = json.replacen(line, &line.repeat(servers - 1), 1);
+    let yaml = include_str!("../../deploy/two-phase.yaml");
+    let entry = "\n    - id: server\n      host_port: \"10.0.0.1:80\"\n      cell: 0\n      phase: Ready\n      up_since_ms: 0\n      \
+                 locality: cardiff-bay\n      speaks: frames\n      prefilter: false";
+    let yaml = format!("known:\n  revision: 1\n  members:{}\n{}", entry.repeat(servers), without_known(yaml));
+    for text in [&json, &yaml] {
+        let options = Config::decode(text.as_bytes()).and_then(Config::options).expect("a configuration");
+        let mut directory = crate::members::Directory::new(Vec::new());
+        let list = directory.read(&options.known.expect("a list")).expect("a list");
+        assert_eq!(list.entries.len(), servers, "{} bytes", text.len());
+    }
+    let wrong = json.replacen("\"coldFrom\": 0.2", "\"coldFrom\": \"cold\"", 1);
+    let error = Config::decode(wrong.as_bytes()).err().expect("it can't be served").to_string();
+    assert!(error.contains("settings.rules.coldFrom: \"cold\" is no number"), "{error}");
+}
+
+/// The text without its `known` list, which ends with the next line that is not indented.
+fn without_known(yaml: &str) -> String {
+    let mut known = false;
+    let lines = yaml.lines().filter(|line| {
+        known = line.starts_with("known:") || (known && (line.starts_with(' ') || line.starts_with('-')));
+        !known
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// A file longer than any configuration is refused by its length, and not read to its end.
+#[test]
+fn a_file_without_end_is_refused() {
+    let error = Config::read(Path::new("/dev/zero")).err().expect("refused").to_string();
+    assert!(error.contains("more than 16777216 bytes"), "{error}");
+}
--- a/src/settings_error.rs
+++ b/src/settings_error.rs
@@ -10,6 +10,12 @@
     /// The file could not be read.
     #[error("cannot be read: {0}")]
     Unreadable(#[from] std::io::Error),
+    /// The text is longer than any configuration.
+    #[error("settings: more than {max_bytes} bytes")]
+    TooLong {
+        /// The longest that is read.
+        max_bytes: usize,
+    },
     /// The text is not UTF-8.
     #[error("settings are not UTF-8: {0}")]
     NotText(#[from] std::str::Utf8Error),
--- a/src/store.rs
+++ b/src/store.rs
@@ -13,11 +13,14 @@
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
-/// Longest key, longest value, most keys.
-pub const KEY_MOST: usize = 200;
-/// Longest value.
-pub const VALUE_MOST: usize = 64 * 1024;
-const KEYS_MOST: usize = 256;
+/// Longest key (bytes).
+pub const MAX_KEY_BYTES: usize = 200;
+/// Longest value (bytes): a list of 10,000 servers, indented, takes 2.3 MB.
+pub const MAX_VALUE_BYTES: usize = 4 * 1024 * 1024;
+/// All keys and values of a node together (bytes). Guards the memory: each value may be long, not all of them.
+const MAX_TOTAL_BYTES: usize = 16 * 1024 * 1024;
+/// Most keys.
+const MAX_KEYS: usize = 256;
 const FILE_NAME: &str = "registers.json";
 
 /// Why something could not be stored or read.
@@ -61,6 +64,13 @@
     registers: String, // JSON of the registers, over which the checksum is
 }
 
+/// Whether a key and its value are within the limits of the store, and of a message between nodes.
+pub fn is_storable(key: &str, value: &str) -> bool {
+    let escaped = || json::to_string(value).len() + json::to_string(key).len();
+    let within = !key.is_empty() && key.len() <= MAX_KEY_BYTES && value.len() <= MAX_VALUE_BYTES;
+    within && escaped() + MESSAGE_OVERHEAD_BYTES <= MAX_MESSAGE_BYTES
+}
+
 /// The registers of one node.
 #[derive(Debug, Default)]
 pub struct Registers {
@@ -106,8 +116,7 @@
         if self.get(key).0 >= version {
             return Ok(());
         }
-        let known = self.registers.contains_key(key);
-        if key.len() > KEY_MOST || value.len() > VALUE_MOST || (!known && self.registers.len() >= KEYS_MOST) {
+        if !is_storable(key, value) || !self.has_room(key, value) {
             return Err(StoreError::Limits);
         }
         let register = Register { key: key.to_string(), version, value: value.to_string() };
@@ -123,6 +132,13 @@
         saved
     }
 
+    /// Whether a value still fits beside all others.
+    fn has_room(&self, key: &str, value: &str) -> bool {
+        let others = || self.registers.values().filter(|register| register.key != key);
+        let bytes: usize = others().map(|register| register.key.len() + register.value.len()).sum();
+        others().count() < MAX_KEYS && bytes + key.len() + value.len() <= MAX_TOTAL_BYTES
+    }
+
     fn save(&self) -> Result<(), StoreError> {
         let Some(folder) = &self.folder else { return Ok(()) };
         let registers = json::to_string(&self.registers.values().cloned().collect::<Vec<_>>());
@@ -140,7 +156,7 @@
     pub fn serve(&mut self, request: &Message) -> Option<Message> {
         let mut answer = Message { answer: true, ..request.clone() };
         match &request.value {
-            _ if request.answer || request.key.len() > KEY_MOST => return None,
+            _ if request.answer || request.key.len() > MAX_KEY_BYTES => return None,
             None => {
                 let (version, value) = self.get(&request.key);
                 (answer.version, answer.value) = (version, value.map(String::from));
@@ -172,8 +188,11 @@
     pub value: Option<String>,
 }
 
-/// Longest message, as it goes over a connection.
-const MESSAGE_MOST: usize = 6 * VALUE_MOST + 4096;
+/// What a message has beside its key and value, at most (bytes).
+const MESSAGE_OVERHEAD_BYTES: usize = 4096;
+/// Longest message, as it goes over a connection (bytes): in a list of servers a quote, a backslash or a line end takes two
+/// bytes, and nothing takes more.
+pub const MAX_MESSAGE_BYTES: usize = 2 * MAX_VALUE_BYTES + MESSAGE_OVERHEAD_BYTES;
 
 impl Message {
     /// Its bytes: a length of four bytes, most significant first, and JSON.
@@ -190,7 +209,7 @@
             return Ok(None);
         };
         let length = u32::from_be_bytes(head) as usize;
-        if length > MESSAGE_MOST {
+        if length > MAX_MESSAGE_BYTES {
             return Err(StoreError::Limits);
         }
         let Some(body) = buffer.get(4..4 + length) else { return Ok(None) };
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -102,3 +102,50 @@
     assert!(Message::decode(&mut vec![255; 8]).is_err());
     assert!(Message::decode(&mut vec![0, 0, 0, 1, b'x']).is_err());
 }
+
+/// A list of servers of a fleet's size is one value, and goes to other nodes in one message.
+#[rstest::rstest]
+#[case(1025)]
+#[case(5300)]
+#[case(10_000)]
+fn a_list_of_a_fleets_size_is_a_value(#[case] servers: usize) {
+    let line = |number: usize| {
+        format!(
+            "    {{\n      \"id\": \"server-{number:08}\",\n      \"host_port\": \"10.200.{}.{}:18080\",\n      \"locality\": \"cardiff-bay\",\n      \
+             \"cell\": {},\n      \"phase\": \"Ready\",\n      \"up_since_ms\": 1764633600000\n    }}",
+            number / 250, number % 250, number / 3
+        )
+    };
+    let lines: Vec<String> = (0..servers).map(line).collect();
+    let value = format!("{{\n  \"revision\": 1,\n  \"members\": [\n{}\n  ]\n}}", lines.join(",\n"));
+    assert!(is_storable("members", &value), "{} bytes", value.len());
+    let mut nodes = three();
+    assert!(play(&mut nodes, 0, Some(&value), &[0, 1]).is_some());
+    assert_eq!(nodes[1].get("k").1, Some(value.as_str()));
+    let message = Message { key: "members".into(), value: Some(value), ..Message::default() };
+    assert_eq!(Message::decode(&mut message.encode()).expect("within bounds"), Some(message));
+}
+
+/// Beyond the limits a value is an error, and nothing has changed: by itself, as a message, or beside all others.
+#[test]
+fn what_is_too_long_is_an_error_and_changes_nothing() {
+    let version = |counter| Version { counter, node: 1 };
+    let mut registers = Registers::in_memory();
+    let longest = "v".repeat(MAX_VALUE_BYTES);
+    for too_long in [longest.clone() + "v", "\u{1}".repeat(MAX_VALUE_BYTES)] {
+        assert!(matches!(registers.put("a", version(1), &too_long), Err(StoreError::Limits)));
+    }
+    assert!(matches!(registers.put("", version(1), "v"), Err(StoreError::Limits)));
+    for key in ["a", "b", "c"] {
+        registers.put(key, version(1), &longest).expect("there is room");
+    }
+    assert!(
+        matches!(registers.put("d", version(1), &longest), Err(StoreError::Limits)),
+        "no room beside the others"
+    );
+    assert_eq!(registers.get("d").1, None);
+    registers.put("a", version(2), &longest).expect("in place of another one there is room");
+    registers.put("d", version(1), "short").expect("what is short still fits");
+    let length = (MAX_MESSAGE_BYTES as u32 + 1).to_be_bytes().to_vec();
+    assert!(matches!(Message::decode(&mut length.clone()), Err(StoreError::Limits)), "refused by its head");
+}
--- a/src/yaml.rs
+++ b/src/yaml.rs
@@ -7,8 +7,7 @@
 use miniserde::json::{self, Number, Object, Value};
 use saphyr::{LoadableYamlNode, Scalar, Yaml};
 
-/// Longest text that is read (bytes), and how deep it may be nested. Guards the memory and the stack.
-const TEXT_MOST: usize = 1 << 20;
+/// How deep a text may be nested. Guards the stack; the memory is guarded by whoever reads the text.
 const DEPTH_MOST: usize = 64;
 
 fn bad(what: impl Into<String>) -> SettingsError {
@@ -17,9 +16,6 @@
 
 /// The same as JSON text.
 pub(crate) fn to_json(text: &str) -> Result<String, SettingsError> {
-    if text.len() > TEXT_MOST {
-        return Err(bad(format!("more than {TEXT_MOST} bytes")));
-    }
     let documents = Yaml::load_from_str(text).map_err(|error| bad(error.to_string()))?;
     let [document] = &documents[..] else {
         return Err(bad(format!("{} documents, not one", documents.len())));
