Split the loop's file by subject: clock, phases, reload, table of connections

net/mod.rs had 715 lines with start, clock, phases, SIGHUP and the events of each kind of connection. Now: clock.rs, phase.rs, reload.rs, table.rs; what is due on a client's or a leaf server's connection is in clients.rs and replicas.rs; mod.rs keeps the mixer's state, its start and the turn of the loop (355 lines). An idle client is read once more before its end in one place (`end_if_idle`, was in `conn_due` and `send_idle_away`); the answers that this brings are settled after that look, no longer between: where clients are being sent away each of them ends its connection by itself.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -6,7 +6,7 @@
 
 use super::http::{self, HttpError, Message, Reader, Start};
 use super::{opensearch, platform, Conn, ConnKey, Due, Mixer, ACCEPT_AGAIN_S};
-use crate::core::{Asked, RequestKey, Style};
+use crate::core::{Asked, Final, RequestKey, Style};
 use crate::store::MAX_VALUE_BYTES;
 use mio::net::TcpStream;
 use slotmap::Key;
@@ -377,7 +377,7 @@
         // Unlike any other, over restarts too: boxes know a part by it.
         let id = loop {
             self.last_search += 1;
-            let id = format!("s{:x}-{:x}", self.clock.wall_now_ms(self.clock.start_s), self.last_search);
+            let id = format!("s{:x}-{:x}", self.clock.wall_now_ms(self.clock.started_at()), self.last_search);
             if !self.core.is_open(&id) {
                 break id;
             }
@@ -467,17 +467,66 @@
         self.read_client(key);
     }
 
-    /// Ends the connections that carry nothing. What a client wrote to a connection that was accepted counts as
-    /// taken, so each is read once more first. One that connected within the last `fresh_s` may be about to ask.
+    /// Ends the connections that carry nothing.
     pub(super) fn send_idle_away(&mut self, fresh_s: f64) {
         let clients = |(key, conn): (ConnKey, &Conn)| matches!(conn, Conn::Client(_)).then_some(key);
         for key in self.conns.iter().filter_map(clients).collect::<Vec<_>>() {
-            self.read_client(key);
+            self.end_if_idle(key, fresh_s);
             self.settle();
-            let Some(Conn::Client(client)) = self.conns.get(key) else { continue };
-            if client.idle() && (client.kept() || self.now >= client.since + fresh_s) {
-                self.linger(key);
+        }
+    }
+
+    /// Ends an idle client's connection, unless it connected within the last `fresh_s` and may be about to ask. Guards a
+    /// request that has come and was not read yet: what a client wrote to a connection that was accepted counts as taken,
+    /// so it is read once more, and whoever turns out to have sent one stays.
+    fn end_if_idle(&mut self, key: ConnKey, fresh_s: f64) {
+        self.read_client(key);
+        let Some(Conn::Client(client)) = self.conns.get(key) else { return };
+        if client.idle() && (client.kept() || self.now >= client.since + fresh_s) {
+            self.linger(key);
+        }
+    }
+
+    /// A deadline of a client's connection has come; it may have moved.
+    pub(super) fn client_due(&mut self, key: ConnKey) {
+        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
+        client.watched_to = 0.0;
+        if self.now + 1e-4 < client.limit() {
+            return self.watch_client(key);
+        }
+        match client.state {
+            ClientState::Reading if client.idle() => self.end_if_idle(key, 0.0),
+            ClientState::Reading => {
+                let bytes = match client.style {
+                    Style::Platform => platform::error(408, "the request took too long to come", &[], true),
+                    Style::Search => opensearch::too_slow(),
+                };
+                self.respond(key, bytes, true);
             }
+            _ => self.drop_conn(key),
+        }
+    }
+
+    /// Something came from a client, its side is closed, or more can be written to it.
+    pub(super) fn client_event(&mut self, key: ConnKey, ended: bool) {
+        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
+        client.ended |= ended;
+        match client.state {
+            ClientState::Writing => self.write_client(key),
+            ClientState::Held(_) | ClientState::Waiting => self.heed_end(key),
+            _ => self.read_client(key),
         }
     }
+
+    /// Gives a client the final answer to its request, in its style.
+    pub(super) fn reply(&mut self, key: ConnKey, asked: &Asked, last: Final, took_s: f64) {
+        let parting = self.parts_with_clients();
+        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
+        let close = parting || client.close;
+        let bytes = match client.context.take() {
+            Some(context) => opensearch::answer(&context, asked, last, took_s, close),
+            None => platform::answer(asked, last, close),
+        };
+        self.respond(key, bytes, close);
+    }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,12 +1,12 @@
 //! The loop: one thread, one poll, every socket.
 //!
-//! This file owns the listeners and signals, the table of connections, what falls due when, and the
-//! phases of the program from start to exit. It carries out what the core commands and tells it what came
-//! of that. It must never decide about a request, never block but in its poll, and never let clients take
-//! the descriptors that replicas and discovery need.
+//! This file owns the mixer's state, its start, and the turn of the loop: it leads events of sockets and deadlines to the
+//! files beside it, carries out what the core commands and tells it what came of that. It must never decide about a request,
+//! never block but in its poll, and never let clients take the descriptors that replicas and discovery need.
 
 mod agenda;
 mod clients;
+mod clock;
 mod control;
 pub mod discovery;
 pub mod handover;
@@ -14,46 +14,36 @@
 pub mod leaf;
 pub mod opensearch;
 pub mod operator;
+mod phase;
 pub mod platform;
+mod reload;
 mod replicas;
+mod table;
 
 use crate::choices::connections;
 use crate::core::{AttemptKey, Command, Core, Style};
 pub use crate::members::ConnKey;
 use crate::members::Directory;
-use crate::settings::{Config, Deployment, Options, Shape};
+use crate::settings::{Deployment, Options, Shape};
 use agenda::{Agenda, Due};
-use clients::{Client, ClientState};
-use discovery::DiscoveryConn;
-use leaf::LeafConn;
-use mio::net::{TcpListener, TcpStream, UnixStream};
+use clients::ClientState;
+pub use clock::Clock;
+use mio::net::{TcpListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
+use phase::Phase;
 use slotmap::{Key, KeyData, SecondaryMap, SlotMap};
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use table::{came_up, Conn};
 use thiserror::Error;
 
-/// What exits must wait for a last answer to be read, at most (seconds).
-const LAST_LINGER_S: f64 = 0.2;
 /// Bytes that may wait to be written on a connection to a replica: bounds on what the memory leaves for it.
 const WAITING_LEAST: usize = 64 * 1024;
 const WAITING_MOST: usize = 512 * 1024;
 /// Descriptors for anything but connections: standard ones, poll, listener, signals, spare; and the door's.
 const OTHER_DESCRIPTORS: usize = 24 + control::DESCRIPTORS;
-/// Settings that come while it runs are taken up after this time: clients learn of them up to 1.2 s after SIGHUP,
-/// and go by the old ones until then (seconds).
-const TAKE_UP_S: f64 = 1.0;
-/// Paused, clients are served as usual for so long: whoever stands before us has to notice first. After that
-/// answers are the last ones on their connections, and from the second time on idle connections are closed, again
-/// and again for those that are still brought (seconds).
-const PAUSED_PARTING_S: f64 = 0.4;
-const PAUSED_IDLE_S: f64 = 0.7;
-const PAUSED_AGAIN_S: f64 = 0.2;
-/// Of the time for which clients are served after SIGTERM, the last share, in which connections end with answers.
-const PARTING_SHARE: f64 = 0.2;
 /// Clients hold a third of the descriptors at most for requests; beyond this share of that third they are a crowd.
 const CROWD: f64 = 0.5;
 /// Where an accept failed for want of descriptors it is tried again after this time (seconds).
@@ -100,66 +90,6 @@
     pub config: PathBuf,
 }
 
-/// The one clock, in Unix seconds: monotonic, tied to wall time once, so that a time told twice is twice the same,
-/// and means the same to the process that takes over.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    origin: Instant,
-    start_s: f64,
-}
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Clock {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { origin: Instant::now(), start_s: wall.as_secs_f64() }
-    }
-
-    /// The time now (seconds).
-    pub fn now(&self) -> f64 {
-        self.start_s + self.origin.elapsed().as_secs_f64()
-    }
-
-    /// How long it has run at that time (seconds).
-    pub fn since_start(&self, now: f64) -> f64 {
-        now - self.start_s
-    }
-
-    /// A time of this clock as a Unix time in milliseconds.
-    pub fn wall_now_ms(&self, now: f64) -> u64 {
-        (now * 1000.0).max(0.0) as u64
-    }
-}
-
-/// From start to exit.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Phase {
-    /// Another process still serves, and is to hand over: not ready, not accepting.
-    Inheriting,
-    /// No list of replicas yet: not ready.
-    Starting,
-    /// Ready.
-    Serving,
-    /// Told by the operators to send clients away: unready, still accepting.
-    Paused,
-    /// Another process has taken over: not accepting, ending connections with their answers until told to end.
-    Leaving,
-    /// Told to end: unready, still accepting until that time.
-    Draining { until: f64 },
-    /// The listener is closed; what is held is answered until none is left, or that time.
-    Closing { until: f64 },
-    /// Over.
-    Stopped,
-}
-
-enum Conn {
-    Client(Box<Client>),
-    Leaf(Box<LeafConn>),
-    Discovery(Box<DiscoveryConn>),
-    Peer(Box<operator::PeerConn>),
-    Caller(Box<control::Caller>),
-}
-
 /// The mixer on its sockets.
 pub struct Mixer {
     poll: Poll,
@@ -373,15 +303,6 @@
         }
     }
 
-    /// Which classes may be asked in two phases, if any.
-    fn log_phases(&mut self) {
-        let classes = self.deployment.phases.classes.iter().map(|class| &self.deployment.classes[*class]);
-        let classes: Vec<&String> = classes.collect();
-        if !classes.is_empty() {
-            self.log(&format!("phases: on for {classes:?}"));
-        }
-    }
-
     fn log_listeners(&mut self) {
         for (style, what) in STYLES.into_iter().zip(["", ", search API"]) {
             let address = self.listeners[style as usize].as_ref().map(TcpListener::local_addr);
@@ -404,14 +325,7 @@
                     Command::Unsend { attempt } => self.unsend(attempt),
                     Command::Reply { caller, last, asked, took_s } => {
                         let key = ConnKey::from(KeyData::from_ffi(caller));
-                        let close = self.parts_with_clients();
-                        let Some(Conn::Client(client)) = self.conns.get_mut(key) else { continue };
-                        let close = close || client.close;
-                        let bytes = match client.context.take() {
-                            Some(context) => opensearch::answer(&context, &asked, last, took_s, close),
-                            None => platform::answer(&asked, last, close),
-                        };
-                        self.respond(key, bytes, close);
+                        self.reply(key, &asked, last, took_s);
                     }
                     Command::WakeAt { at, wake } => self.agenda.add(at, Due::Core(wake)),
                     Command::Watch => self.ask(),
@@ -435,281 +349,7 @@
             Due::Vrrp => self.vrrp_take(crate::vrrp::Event::Timer),
             Due::Refresh => self.refresh(),
             Due::Operation(id) => self.operation_due(id),
-            Due::Phase => match self.phase {
-                Phase::Draining { until } if self.now + 1e-4 >= until => self.close_listener(),
-                // One at a time, however often it was told to pause and to resume.
-                Phase::Paused | Phase::Leaving if self.now + 1e-4 >= self.sweep_at => {
-                    let fresh_s = if self.phase == Phase::Leaving { 0.0 } else { PAUSED_AGAIN_S / 2.0 };
-                    self.send_idle_away(fresh_s);
-                    self.sweep_idle_at(self.now + PAUSED_AGAIN_S);
-                }
-                _ => {}
-            },
+            Due::Phase => self.phase_due(),
         }
     }
-
-    // ---- phases
-
-    fn closes(&self) -> bool {
-        !matches!(self.phase, Phase::Inheriting | Phase::Starting | Phase::Serving | Phase::Paused)
-    }
-
-    /// Whether an answer is the last one on its connection. Told to end, we keep connections at first: those
-    /// who stand before us may not have another mixer ready yet, and their clients would have nowhere to go.
-    /// Guards the clients' own share of connections in a crowd: where each asks once and then keeps its connection,
-    /// the next one could open none until the idle ones are closed.
-    fn parts_with_clients(&self) -> bool {
-        self.now >= self.parting_at || self.clients > self.crowd
-    }
-
-    fn ready(&self) -> bool {
-        self.phase == Phase::Serving
-    }
-
-    /// Unready from now on: whoever stands before us sends no new clients once it has noticed. Until then they
-    /// are served as usual, for a client sent away too early would come back through the same front.
-    fn pause(&mut self) {
-        if !matches!(self.phase, Phase::Starting | Phase::Serving) {
-            return;
-        }
-        self.phase = Phase::Paused;
-        self.parting_at = self.now + PAUSED_PARTING_S;
-        self.sweep_idle_at(self.now + PAUSED_IDLE_S);
-        self.log("pause: unready, sending clients away");
-        self.vrrp_take(crate::vrrp::Event::Shutdown);
-    }
-
-    /// When idle clients are sent away next.
-    fn sweep_idle_at(&mut self, at: f64) {
-        self.sweep_at = at;
-        self.agenda.add(at, Due::Phase);
-    }
-
-    /// Back to work.
-    fn resume(&mut self) {
-        if self.phase != Phase::Paused {
-            return;
-        }
-        self.phase = if self.directory.has_ready() { Phase::Serving } else { Phase::Starting };
-        self.parting_at = f64::MAX;
-        self.log("resume: back to work");
-        self.vrrp_take(crate::vrrp::Event::Startup);
-    }
-
-    fn stop_asked(&mut self) {
-        let mut buffer = [0; 64];
-        while matches!(self.signals.read(&mut buffer), Ok(count) if count > 0) {}
-        if matches!(self.phase, Phase::Inheriting | Phase::Leaving) {
-            self.leave_predecessor();
-            self.close_listener();
-        } else if !self.closes() {
-            let until = self.now + self.drain_s;
-            self.phase = Phase::Draining { until };
-            self.parting_at = self.parting_at.min(until - PARTING_SHARE * self.drain_s);
-            self.agenda.add(until, Due::Phase);
-            self.log("drain: told to end; unready, still serving");
-        }
-    }
-
-    /// Rereads the configuration. Requests and connections stay as they are; what is wrong changes nothing.
-    fn reread_asked(&mut self) {
-        let mut buffer = [0; 64];
-        while matches!(self.rereads.read(&mut buffer), Ok(count) if count > 0) {}
-        let reread = match Config::reread(&self.config, &self.shape) {
-            Ok(reread) => reread,
-            Err(error) => {
-                self.conf_invalid += 1;
-                return self.log(&format!("reload: the old configuration stays: {error}"));
-            }
-        };
-        self.conf_loaded += 1;
-        self.shape = reread.shape;
-        // What the operators stored comes before the file.
-        if !self.settings_stored() {
-            self.settings_come(reread.deployment);
-        }
-        // The environment of a start can't change, the file can: what is new in it is what is wanted now.
-        match reread.discovery.filter(|address| Some(*address) != self.file_discovery) {
-            Some(address) => self.go_over(address),
-            None => self.log("reload: discovery stays"),
-        }
-    }
-
-    /// Settings that are sound. They are taken up a little later: clients go by the old names and rules until then.
-    fn settings_come(&mut self, deployment: Deployment) {
-        let new = deployment != *self.deployment;
-        self.coming = new.then(|| Rc::new(deployment));
-        if new {
-            self.agenda.add(self.now + TAKE_UP_S, Due::Settings);
-            self.log("reload: settings are new; they are taken up in a second");
-        }
-    }
-
-    fn take_settings(&mut self) {
-        let Some(deployment) = self.coming.take() else { return };
-        self.directory.set_zones(deployment.zones.clone());
-        self.deployment = deployment.clone();
-        self.core.reconfigure(self.now, deployment, &mut self.commands);
-        self.log(&format!("reload: settings taken up, classes {:?}", self.deployment.classes));
-        self.log_phases();
-    }
-
-    /// Leaves the old discovery. The new one's versions are its own, so its whole list comes first; until
-    /// then the old list is in use. In the phases of an end it serves what is still held.
-    fn go_over(&mut self, address: SocketAddr) {
-        self.log(&format!("reload: going over to discovery {address}"));
-        (self.discovery, self.file_discovery, self.revision) = (Some(address), Some(address), None);
-        if let Some(key) = self.asking {
-            self.drop_conn(key);
-        }
-        self.going_over = true;
-        self.ask();
-    }
-
-    /// Empties the accept queue, closes the listener and sends idle clients away. A queue that was inherited stays
-    /// for the next process.
-    fn close_listener(&mut self) {
-        if self.handover.is_some() {
-            self.leave_queue();
-        }
-        STYLES.into_iter().for_each(|style| self.accept(style));
-        self.listeners = [None, None];
-        self.vrrp_take(crate::vrrp::Event::Shutdown);
-        let longest = self.deployment.policy.classes.iter().map(|class| class.deadline_s);
-        let until = self.now + longest.fold(3.0, f64::max);
-        (self.phase, self.parting_at) = (Phase::Closing { until }, self.now);
-        self.agenda.add(until, Due::Phase);
-        self.send_idle_away(0.0);
-        self.log(&format!("drain: listener closed, {} requests held", self.core.open()));
-    }
-
-    fn check_end(&mut self) {
-        let Phase::Closing { until } = self.phase else { return };
-        let busy = |conn: &Conn| match conn {
-            Conn::Client(client) => {
-                client.state != ClientState::Lingering || self.now < client.since + LAST_LINGER_S
-            }
-            _ => false,
-        };
-        if self.now >= until || !self.conns.values().any(busy) {
-            self.phase = Phase::Stopped;
-            self.log("stop: all that was held is answered");
-        } else {
-            self.agenda.add(self.now + LAST_LINGER_S / 4.0, Due::Phase);
-        }
-    }
-
-    // ---- connections of every kind
-
-    fn register(&mut self, key: ConnKey) {
-        let both = Interest::READABLE | Interest::WRITABLE;
-        let registry = self.poll.registry();
-        let result = match self.conns.get_mut(key) {
-            Some(Conn::Client(client)) => registry.register(&mut client.stream, token(key), both),
-            Some(Conn::Leaf(leaf)) => registry.register(&mut leaf.stream, token(key), both),
-            Some(Conn::Discovery(conn)) => registry.register(&mut conn.stream, token(key), both),
-            Some(Conn::Peer(peer)) => peer.register(registry, key),
-            Some(Conn::Caller(caller)) => caller.register(registry, key),
-            None => Ok(()),
-        };
-        if let Err(error) = result {
-            self.log(&format!("poll: {error}"));
-        }
-    }
-
-    fn conn_event(&mut self, key: ConnKey, gone: bool, read_closed: bool) {
-        match self.conns.get_mut(key) {
-            Some(Conn::Client(client)) => {
-                client.ended |= gone || read_closed;
-                match client.state {
-                    ClientState::Writing => self.write_client(key),
-                    ClientState::Held(_) | ClientState::Waiting => self.heed_end(key),
-                    _ => self.read_client(key),
-                }
-            }
-            Some(Conn::Leaf(_)) => self.leaf_event(key),
-            Some(Conn::Discovery(_)) => self.discovery_event(key),
-            Some(Conn::Peer(_)) => self.peer_event(key),
-            Some(Conn::Caller(_)) => {} // served before all others
-            None => {}                  // an event for a connection that is gone
-        }
-    }
-
-    fn conn_due(&mut self, key: ConnKey) {
-        match self.conns.get_mut(key) {
-            Some(Conn::Client(client)) => {
-                client.watched_to = 0.0;
-                if self.now + 1e-4 < client.limit() {
-                    self.watch_client(key);
-                } else if client.state == ClientState::Reading && !client.idle() {
-                    let bytes = match client.style {
-                        Style::Platform => {
-                            platform::error(408, "the request took too long to come", &[], true)
-                        }
-                        Style::Search => opensearch::too_slow(),
-                    };
-                    self.respond(key, bytes, true);
-                } else if client.state == ClientState::Reading {
-                    // Guards a request that has come and was not read yet: whoever turns out to have sent one stays.
-                    self.read_client(key);
-                    if matches!(self.conns.get(key), Some(Conn::Client(client)) if client.idle()) {
-                        self.linger(key);
-                    }
-                } else {
-                    self.drop_conn(key);
-                }
-            }
-            Some(Conn::Leaf(leaf)) => {
-                if !leaf.up {
-                    return self.end_leaf(key, "never came up");
-                }
-                // Guards the parts on a connection where an answer never ends.
-                if leaf.whole_by().is_some_and(|by| by <= self.now + 1e-4) {
-                    let error = leaf.spoil(None, "an answer that does not end");
-                    return self.end_leaf(key, &error.to_string());
-                }
-                // Guards against a part lost on a connection that the other side is closing: ours goes first.
-                let limit = leaf.used_at + IDLE_SHARE * self.deployment.conn_idle_s;
-                if self.now + 1e-4 < limit {
-                    self.agenda.add(limit, Due::Conn(key));
-                } else if leaf.unused() {
-                    self.drop_conn(key);
-                } else {
-                    self.agenda.add(self.now + 0.5, Due::Conn(key));
-                }
-            }
-            Some(Conn::Discovery(conn)) if self.now + 1e-4 >= conn.due => {
-                self.end_discovery(key, "no answer in time");
-            }
-            Some(Conn::Caller(_)) => self.caller_due(key),
-            Some(Conn::Discovery(_) | Conn::Peer(_)) | None => {}
-        }
-    }
-
-    /// Forgets a connection. What was out on a connection to a replica must have been taken from it before.
-    fn drop_conn(&mut self, key: ConnKey) {
-        match self.conns.remove(key) {
-            Some(Conn::Client(_)) => self.clients -= 1,
-            Some(Conn::Leaf(leaf)) => {
-                self.leaves -= 1;
-                if let Some(member) = self.directory.member(leaf.replica) {
-                    member.conns.retain(|other| *other != key);
-                }
-            }
-            Some(Conn::Discovery(_)) => self.asking = None,
-            Some(Conn::Peer(_) | Conn::Caller(_)) | None => {}
-        }
-    }
-}
-
-/// Whether a connection has come up; an error says why it never will.
-fn came_up(stream: &TcpStream) -> io::Result<bool> {
-    if let Some(error) = stream.take_error()? {
-        return Err(error);
-    }
-    match stream.peer_addr() {
-        Ok(_) => Ok(true),
-        Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
-        Err(error) => Err(error),
-    }
 }
--- /dev/null
+++ b/src/net/phase.rs
@@ -0,0 +1,150 @@
+//! The phases of the program from start to exit: serving, paused, draining, closing.
+//!
+//! This file owns whether the mixer is ready, and when its clients are sent away. It must never end a connection on which a
+//! request may have come without reading it once more, and never decide about a request.
+
+use super::clients::ClientState;
+use super::{Conn, Due, Mixer, STYLES};
+use std::io::Read;
+
+/// What exits must wait for a last answer to be read, at most (seconds).
+const LAST_LINGER_S: f64 = 0.2;
+/// Paused, clients are served as usual for so long: whoever stands before us has to notice first. After that
+/// answers are the last ones on their connections, and from the second time on idle connections are closed, again
+/// and again for those that are still brought (seconds).
+const PAUSED_PARTING_S: f64 = 0.4;
+const PAUSED_IDLE_S: f64 = 0.7;
+const PAUSED_AGAIN_S: f64 = 0.2;
+/// Of the time for which clients are served after SIGTERM, the last share, in which connections end with answers.
+const PARTING_SHARE: f64 = 0.2;
+
+/// From start to exit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Phase {
+    /// Another process still serves, and is to hand over: not ready, not accepting.
+    Inheriting,
+    /// No list of replicas yet: not ready.
+    Starting,
+    /// Ready.
+    Serving,
+    /// Told by the operators to send clients away: unready, still accepting.
+    Paused,
+    /// Another process has taken over: not accepting, ending connections with their answers until told to end.
+    Leaving,
+    /// Told to end: unready, still accepting until that time.
+    Draining { until: f64 },
+    /// The listener is closed; what is held is answered until none is left, or that time.
+    Closing { until: f64 },
+    /// Over.
+    Stopped,
+}
+
+impl Mixer {
+    pub(super) fn closes(&self) -> bool {
+        !matches!(self.phase, Phase::Inheriting | Phase::Starting | Phase::Serving | Phase::Paused)
+    }
+
+    /// Whether an answer is the last one on its connection. Told to end, we keep connections at first: those
+    /// who stand before us may not have another mixer ready yet, and their clients would have nowhere to go.
+    /// Guards the clients' own share of connections in a crowd: where each asks once and then keeps its connection,
+    /// the next one could open none until the idle ones are closed.
+    pub(super) fn parts_with_clients(&self) -> bool {
+        self.now >= self.parting_at || self.clients > self.crowd
+    }
+
+    pub(super) fn ready(&self) -> bool {
+        self.phase == Phase::Serving
+    }
+
+    /// Unready from now on: whoever stands before us sends no new clients once it has noticed. Until then they
+    /// are served as usual, for a client sent away too early would come back through the same front.
+    pub(super) fn pause(&mut self) {
+        if !matches!(self.phase, Phase::Starting | Phase::Serving) {
+            return;
+        }
+        self.phase = Phase::Paused;
+        self.parting_at = self.now + PAUSED_PARTING_S;
+        self.sweep_idle_at(self.now + PAUSED_IDLE_S);
+        self.log("pause: unready, sending clients away");
+        self.vrrp_take(crate::vrrp::Event::Shutdown);
+    }
+
+    /// A deadline of the present phase has come.
+    pub(super) fn phase_due(&mut self) {
+        match self.phase {
+            Phase::Draining { until } if self.now + 1e-4 >= until => self.close_listener(),
+            // One at a time, however often it was told to pause and to resume.
+            Phase::Paused | Phase::Leaving if self.now + 1e-4 >= self.sweep_at => {
+                let fresh_s = if self.phase == Phase::Leaving { 0.0 } else { PAUSED_AGAIN_S / 2.0 };
+                self.send_idle_away(fresh_s);
+                self.sweep_idle_at(self.now + PAUSED_AGAIN_S);
+            }
+            _ => {}
+        }
+    }
+
+    /// When idle clients are sent away next.
+    pub(super) fn sweep_idle_at(&mut self, at: f64) {
+        self.sweep_at = at;
+        self.agenda.add(at, Due::Phase);
+    }
+
+    /// Back to work.
+    pub(super) fn resume(&mut self) {
+        if self.phase != Phase::Paused {
+            return;
+        }
+        self.phase = if self.directory.has_ready() { Phase::Serving } else { Phase::Starting };
+        self.parting_at = f64::MAX;
+        self.log("resume: back to work");
+        self.vrrp_take(crate::vrrp::Event::Startup);
+    }
+
+    pub(super) fn stop_asked(&mut self) {
+        let mut buffer = [0; 64];
+        while matches!(self.signals.read(&mut buffer), Ok(count) if count > 0) {}
+        if matches!(self.phase, Phase::Inheriting | Phase::Leaving) {
+            self.leave_predecessor();
+            self.close_listener();
+        } else if !self.closes() {
+            let until = self.now + self.drain_s;
+            self.phase = Phase::Draining { until };
+            self.parting_at = self.parting_at.min(until - PARTING_SHARE * self.drain_s);
+            self.agenda.add(until, Due::Phase);
+            self.log("drain: told to end; unready, still serving");
+        }
+    }
+
+    /// Empties the accept queue, closes the listener and sends idle clients away. A queue that was inherited stays
+    /// for the next process.
+    pub(super) fn close_listener(&mut self) {
+        if self.handover.is_some() {
+            self.leave_queue();
+        }
+        STYLES.into_iter().for_each(|style| self.accept(style));
+        self.listeners = [None, None];
+        self.vrrp_take(crate::vrrp::Event::Shutdown);
+        let longest = self.deployment.policy.classes.iter().map(|class| class.deadline_s);
+        let until = self.now + longest.fold(3.0, f64::max);
+        (self.phase, self.parting_at) = (Phase::Closing { until }, self.now);
+        self.agenda.add(until, Due::Phase);
+        self.send_idle_away(0.0);
+        self.log(&format!("drain: listener closed, {} requests held", self.core.open()));
+    }
+
+    pub(super) fn check_end(&mut self) {
+        let Phase::Closing { until } = self.phase else { return };
+        let busy = |conn: &Conn| match conn {
+            Conn::Client(client) => {
+                client.state != ClientState::Lingering || self.now < client.since + LAST_LINGER_S
+            }
+            _ => false,
+        };
+        if self.now >= until || !self.conns.values().any(busy) {
+            self.phase = Phase::Stopped;
+            self.log("stop: all that was held is answered");
+        } else {
+            self.agenda.add(self.now + LAST_LINGER_S / 4.0, Due::Phase);
+        }
+    }
+}
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -152,6 +152,28 @@
         Some(key)
     }
 
+    /// A deadline of a replica's connection has come: it never came up, an answer does not end, or it stood unused.
+    pub(super) fn leaf_due(&mut self, key: ConnKey) {
+        let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return };
+        if !leaf.up {
+            return self.end_leaf(key, "never came up");
+        }
+        // Guards the parts on a connection where an answer never ends.
+        if leaf.whole_by().is_some_and(|by| by <= self.now + 1e-4) {
+            let error = leaf.spoil(None, "an answer that does not end");
+            return self.end_leaf(key, &error.to_string());
+        }
+        // Guards against a part lost on a connection that the other side is closing: ours goes first.
+        let limit = leaf.used_at + IDLE_SHARE * self.deployment.conn_idle_s;
+        if self.now + 1e-4 < limit {
+            self.agenda.add(limit, Due::Conn(key));
+        } else if leaf.unused() {
+            self.drop_conn(key);
+        } else {
+            self.agenda.add(self.now + 0.5, Due::Conn(key));
+        }
+    }
+
     pub(super) fn leaf_event(&mut self, key: ConnKey) {
         let mut said: Vec<Said> = Vec::new();
         let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return };
