--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of settings.rs that need its privates.
 
 use super::*;
+use crate::store::Registers;
+use std::path::Path;
 
 /// A file cut anywhere is no configuration, and one without a line that was there before is not taken either,
 /// but for what counts at a start only.
