Call the operators' door an admin interface, and a held request pending, in the code

Renames in control.rs, net/mod.rs, clients.rs, leaf.rs, replicas.rs and tests/exchanges.rs; the log lines (`door: ...`), configuration keys, calls and figures that operators rely on stay.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -45,7 +45,7 @@
     /// Between requests, or in the middle of reading one.
     Reading,
     /// The core holds its request.
-    Held(RequestKey),
+    Pending(RequestKey),
     /// An operation of the store has to end first.
     Waiting,
     /// An answer is being written.
@@ -91,7 +91,7 @@
             ClientState::Reading if self.idle() => (self.since + IDLE_S).min(self.first_by),
             ClientState::Reading => (self.since + REQUEST_S).min(self.first_by),
             ClientState::Writing => self.since + WRITE_S,
-            ClientState::Held(_) | ClientState::Waiting => f64::MAX,
+            ClientState::Pending(_) | ClientState::Waiting => f64::MAX,
             ClientState::Lingering => self.since + LINGER_S,
         }
     }
@@ -299,7 +299,7 @@
     }
 
     /// A client whose request is held: if it has closed its side it has gone, and what it asked is over at once. Guards
-    /// the boxes against work that nobody waits for. What it sent ahead of that is read, for the end comes behind it.
+    /// the leaf servers against work that nobody waits for. What it sent ahead of that is read, for the end comes behind it.
     pub(super) fn heed_end(&mut self, key: ConnKey) {
         let mut buffer = [0; AHEAD_MOST];
         let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
@@ -314,7 +314,7 @@
             }
         }
         if client.ended {
-            if let ClientState::Held(request) = client.state {
+            if let ClientState::Pending(request) = client.state {
                 self.core.leave(self.now, request, &mut self.commands);
             }
             self.drop_conn(key);
@@ -361,7 +361,7 @@
         }
         match platform::request(&message, &self.deployment) {
             platform::Request::Query(asked) if self.core.is_open(&asked.id) => {
-                // Guards the open request of that id: boxes know parts by it, and answers would be mistaken.
+                // Guards the open request of that id: leaf servers know parts by it, and answers would be mistaken.
                 let why = "a request of that X-Request-ID is open";
                 self.respond(key, platform::error(409, why, &[], true), true);
             }
@@ -374,7 +374,7 @@
     }
 
     pub(super) fn take_search(&mut self, key: ConnKey, message: &Message) {
-        // Unlike any other, over restarts too: boxes know a part by it.
+        // Unlike any other, over restarts too: leaf servers know a part by it.
         let id = loop {
             self.last_search += 1;
             let id = format!("s{:x}-{:x}", self.clock.wall_now_ms(self.clock.started_at()), self.last_search);
@@ -405,7 +405,7 @@
         }
         let request = self.core.take(self.now, asked, key.data().as_ffi(), &mut self.commands);
         if let Some(Conn::Client(client)) = self.conns.get_mut(key) {
-            (client.state, client.since, client.context) = (ClientState::Held(request), self.now, context);
+            (client.state, client.since, client.context) = (ClientState::Pending(request), self.now, context);
         }
     }
 
@@ -513,7 +513,7 @@
         client.ended |= ended;
         match client.state {
             ClientState::Writing => self.write_client(key),
-            ClientState::Held(_) | ClientState::Waiting => self.heed_end(key),
+            ClientState::Pending(_) | ClientState::Waiting => self.heed_end(key),
             _ => self.read_client(key),
         }
     }
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,10 +1,10 @@
-//! The operators' door: one line in, one reply out, and the figures.
+//! The admin interface: one line in, one reply out, and the figures.
 //!
 //! This file owns the listener for operators, its callers, the words of their calls and the text of the figures.
 //! It must never let a caller who says nothing stand before one who does, never take a descriptor that clients
 //! may use, and never count: every figure is told by whoever settles what it counts.
 
-use super::{http, token, Conn, ConnKey, Due, Mixer, NetError, Phase, DOOR, STYLES};
+use super::{http, token, Conn, ConnKey, Due, Mixer, NetError, Phase, ADMIN, STYLES};
 use crate::core::{Figures, Style};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry};
@@ -14,7 +14,7 @@
 
 /// Callers at a time; when there are as many, the one that has been silent for the longest makes room.
 const CALLERS_MOST: usize = 12;
-/// Descriptors that are kept for the door: its listener, its callers, and one that is just being accepted.
+/// Descriptors that are kept for the admin interface: its listener, its callers, and one that is just being accepted.
 pub(super) const DESCRIPTORS: usize = CALLERS_MOST + 2;
 /// Callers accepted in one turn of the loop, at most, and when the others are, at the latest (seconds).
 const A_TURN: usize = 32;
@@ -48,7 +48,7 @@
     }
 }
 
-pub(super) struct Door {
+pub(super) struct AdminInterface {
     listener: TcpListener,
 }
 
@@ -119,23 +119,23 @@
 }
 
 impl Mixer {
-    pub(super) fn open_door(&mut self, address: SocketAddr) -> Result<(), NetError> {
+    pub(super) fn open_admin_interface(&mut self, address: SocketAddr) -> Result<(), NetError> {
         let mut listener = TcpListener::bind(address).map_err(|error| NetError::Listen { address, error })?;
-        self.poll.registry().register(&mut listener, DOOR, Interest::READABLE)?;
+        self.poll.registry().register(&mut listener, ADMIN, Interest::READABLE)?;
         let line = format!("door: operators are heard on {}", listener.local_addr()?);
         self.log(&line);
-        self.door = Some(Door { listener });
+        self.admin = Some(AdminInterface { listener });
         Ok(())
     }
 
     /// Takes those who have come, some in each turn, and hears at once what they say.
-    pub(super) fn door_accept(&mut self) {
+    pub(super) fn admin_accept(&mut self) {
         for _ in 0..A_TURN {
-            let Some(door) = &self.door else { return };
-            match door.listener.accept() {
+            let Some(admin) = &self.admin else { return };
+            match admin.listener.accept() {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
-                    self.make_room_at_door();
+                    self.make_room_for_caller();
                     let (line, due) = (Vec::new(), self.now + LINE_S);
                     let caller = Caller { stream, line, out: None, thrown_away: 0, heard_at: self.now, due };
                     let key = self.conns.insert(Conn::Caller(Box::new(caller)));
@@ -160,7 +160,7 @@
 
     /// Guards the next caller against those who connect and say nothing: who has been silent for the longest goes,
     /// and who has had its reply before anyone who still waits for one.
-    fn make_room_at_door(&mut self) {
+    fn make_room_for_caller(&mut self) {
         let callers = self.conns.iter().filter_map(|(key, conn)| match conn {
             Conn::Caller(caller) => {
                 let over = caller.out.as_ref().is_some_and(Vec::is_empty);
--- a/src/net/leaf.rs
+++ b/src/net/leaf.rs
@@ -145,7 +145,7 @@
     (frame(b'q', &rest), lengths)
 }
 
-/// How a part ended, by the box's word.
+/// How a part ended, by the leaf server's word.
 #[derive(Clone, Copy, PartialEq)]
 enum End {
     Served,
@@ -158,7 +158,7 @@
 }
 
 impl End {
-    /// What it means for an attempt. A box that serves in full what it was asked ahead gave no word.
+    /// What it means for an attempt. A leaf server that serves in full what it was asked ahead gave no word.
     fn outcome(self, ahead: bool) -> Option<Outcome> {
         match (self, ahead) {
             (End::Served, false) | (End::Nothing, true) => Some(Outcome::Ok),
@@ -353,7 +353,7 @@
     /// Nobody waits for this attempt any more. Says whether the connection has to be closed for it.
     pub fn give_up(&mut self, attempt: AttemptKey, now: f64, doubt_s: f64) -> bool {
         let close = self.call_off(attempt);
-        // Guards boxes against a handshake for each part that was called off: no answer comes to that, ever, and
+        // Guards leaf servers against a handshake for each part that was called off: no answer comes to that, ever, and
         // a silence that nobody waits in tells nothing. What was silent for too long before stays in doubt.
         if self.unused() && !self.in_doubt(now, doubt_s) {
             self.asked_at = None;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -42,7 +42,7 @@
 /// Bytes that may wait to be written on a connection to a replica: bounds on what the memory leaves for it.
 const WAITING_LEAST: usize = 64 * 1024;
 const WAITING_MOST: usize = 512 * 1024;
-/// Descriptors for anything but connections: standard ones, poll, listener, signals, spare; and the door's.
+/// Descriptors for anything but connections: standard ones, poll, listener, signals, spare; and the admin interface's.
 const OTHER_DESCRIPTORS: usize = 24 + control::DESCRIPTORS;
 /// Clients hold a third of the descriptors at most for requests; beyond this share of that third they are a crowd.
 const CROWD: f64 = 0.5;
@@ -57,7 +57,7 @@
 const STORE: Token = Token(3);
 const VRRP: Token = Token(4);
 const REREAD: Token = Token(5);
-const DOOR: Token = Token(6);
+const ADMIN: Token = Token(6);
 const STYLES: [Style; 2] = [Style::Platform, Style::Search];
 
 fn token(key: ConnKey) -> Token {
@@ -111,14 +111,14 @@
     shape: Shape,
     coming: Option<Rc<Deployment>>, // settings that were accepted and are taken up soon
     asking: Option<ConnKey>,
-    rng: oorandom::Rand64, // for lots that keep a fleet out of step
+    rng: oorandom::Rand64, // for jitter that keeps a fleet out of step
     revision: Option<u64>,
     /// Whether it goes over to another discovery: the old list holds until the new one has told its own.
     going_over: bool,
     phase: Phase,
     sweep_at: f64,   // in phases that send clients away: when idle ones are next
     parting_at: f64, // from when on an answer is the last one on its connection
-    door: Option<control::Door>,
+    admin: Option<control::AdminInterface>,
     handover: Option<handover::Handover>,
     addresses: [Option<SocketAddr>; 2], // to listen on, by style; none for a listener that is inherited
     conf_loaded: u64,                   // files that were accepted at SIGHUP,
@@ -198,7 +198,7 @@
             phase: Phase::Starting,
             sweep_at: 0.0,
             parting_at: f64::MAX,
-            door: None,
+            admin: None,
             handover: None,
             addresses,
             conf_loaded: 0,
@@ -221,7 +221,7 @@
         mixer.log_listeners();
         mixer.log_phases();
         if let Some(address) = options.operator {
-            mixer.open_door(address)?;
+            mixer.open_admin_interface(address)?;
         }
         if let Some(setup) = options.store {
             mixer.set_up_store(setup)?;
@@ -259,7 +259,7 @@
             // Operators come first: what clients bring must not keep their replies waiting.
             for event in &events {
                 match event.token() {
-                    DOOR => self.door_accept(),
+                    ADMIN => self.admin_accept(),
                     Token(key) => self.caller_event(ConnKey::from(KeyData::from_ffi(key as u64))),
                 }
             }
@@ -270,7 +270,7 @@
                     REREAD => self.reread_asked(),
                     STORE => self.store_accept(),
                     VRRP => self.vrrp_event(),
-                    DOOR => {}
+                    ADMIN => {}
                     handover::MEETING => self.meeting_event(),
                     handover::PREDECESSOR => self.link_event(handover::Side::Predecessor),
                     handover::SUCCESSOR => self.link_event(handover::Side::Successor),
@@ -341,7 +341,7 @@
             Due::Core(wake) => self.core.wake(self.now, wake, &mut self.commands),
             Due::Conn(key) => self.conn_due(key),
             Due::Handover => self.handover_due(),
-            Due::Door => self.door_accept(),
+            Due::Door => self.admin_accept(),
             Due::Accept => STYLES.into_iter().for_each(|style| self.accept(style)),
             Due::Ask => self.ask(),
             Due::Settings => self.take_settings(),
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -252,7 +252,7 @@
         }
     }
 
-    /// Nobody waits for an attempt, and boxes can't be told: what has not begun to leave stays here.
+    /// Nobody waits for an attempt, and leaf servers can't be told: what has not begun to leave stays here.
     pub(super) fn unsend(&mut self, attempt: AttemptKey) {
         let Some(key) = self.flights.get(attempt).copied() else { return };
         let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return };
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -10,7 +10,7 @@
 //! - `start`: the program starts, knowing the boxes so far. `log TEXT`: waits until it has logged that.
 //! - `WHO > TEXT`, `WHO < TEXT`: bytes sent, bytes awaited (all that came since the last match). A box that
 //!   speaks frames names the frame's letter first. A name that is no box is a client and connects, to the
-//!   search API if it begins with `os`, to the operators' door if with `op`, to the store's listener if with `node`.
+//!   search API if it begins with `os`, to the admin interface if with `op`, to the store's listener if with `node`.
 //!   `{id}` in what is awaited keeps what stands there, and `{id}` in what is sent puts it back.
 //! - `WHO raw TEXT`: bytes sent as they are, by a box too. `WHO finds`: waits until something has come, and leaves it unread.
 //! - `NAME fills`: no connection comes up there any more, and none is refused: the queue of those that wait to be accepted is
@@ -20,7 +20,7 @@
 //! - `NAME tells HEX`, `NAME hears HEX`: a message of a VRRP router. `active`: the program listens for clients.
 //! - `hold`: the script holds the clients' listener, and programs inherit it. `beside`: another program starts beside
 //!   the present one, which is `old` from then on: `old log TEXT`, `old term`, `old exits`, and a name that begins
-//!   with `oop` connects to its door. `ends now`: the newest is killed, and the old one is the present one again.
+//!   with `oop` connects to its admin interface. `ends now`: the newest is killed, and the old one is the present one again.
 //!   `NAME meets`: connects where a successor would; `NAME awaits`: listens where a predecessor would.
 //! - `stop`: the program stands still from here on, and finds all that comes meanwhile at once at `cont`.
 //! - `rewrite`: the configuration's file anew, with what was `set` since. `spoil`: the file is no JSON any more.
@@ -66,7 +66,7 @@
     log: Receiver<String>,
     address: SocketAddr,
     search: Option<SocketAddr>,
-    door: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
     store: Option<SocketAddr>,
     vrrp: Option<SocketAddr>,
 }
@@ -194,12 +194,12 @@
             .as_ref()
             .map_or(SocketAddr::from(([127, 0, 0, 1], 0)), |held| held.local_addr().expect("an address"));
         let mut program =
-            Program { child, path, log, address, search: None, door: None, store: None, vrrp: None };
+            Program { child, path, log, address, search: None, admin: None, store: None, vrrp: None };
         if !self.set.contains_key("vrrp") && self.held.is_none() {
             program.active(self.set.contains_key("search"));
         }
         if self.set.contains_key("operator") {
-            program.door = Some(program.await_address("door: operators are heard on "));
+            program.admin = Some(program.await_address("door: operators are heard on "));
         }
         if self.set.contains_key("store") {
             program.store = Some(program.await_address("store: node "));
@@ -222,13 +222,13 @@
             let program = self.program.as_ref();
             let search = program.and_then(|program| program.search).filter(|_| name.starts_with("os"));
             let store = program.and_then(|program| program.store).filter(|_| name.starts_with("node"));
-            let old = self.old.as_ref().and_then(|old| old.door).filter(|_| name.starts_with("oop"));
-            let door = program.and_then(|program| program.door).filter(|_| name.starts_with("op")).or(old);
+            let old = self.old.as_ref().and_then(|old| old.admin).filter(|_| name.starts_with("oop"));
+            let admin = program.and_then(|program| program.admin).filter(|_| name.starts_with("op")).or(old);
             // Where the script holds the listener, clients may come before the program does.
             let held =
                 || self.held.as_ref().and_then(|held| held.local_addr().ok()).expect("started or held");
             let front = program.map_or_else(held, |program| program.address);
-            let (frames, address) = (store.is_some(), search.or(door).or(store).unwrap_or(front));
+            let (frames, address) = (store.is_some(), search.or(admin).or(store).unwrap_or(front));
             let stream = TcpStream::connect(address).expect("a connection");
             stream.set_nodelay(true).expect("no delay");
             self.peers.insert(name.into(), Peer { stream: Some(stream), frames, ..Peer::default() });
