--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -10,15 +10,17 @@
 //! - `start`: the program starts, knowing the boxes so far. `log TEXT`: waits until it has logged that.
 //! - `WHO > TEXT`, `WHO < TEXT`: bytes sent, bytes awaited (all that came since the last match). A box that
 //!   speaks frames names the frame's letter first. A name that is no box is a client and connects, to the
-//!   search API if it begins with `os`, to the operators' door if with `op`, to the store's listener if with `node`.
+//!   search API if it begins with `os`, to the admin interface if with `op`, to the store's listener if with `node`.
 //!   `{id}` in what is awaited keeps what stands there, and `{id}` in what is sent puts it back.
 //! - `WHO raw TEXT`: bytes sent as they are, by a box too. `WHO finds`: waits until something has come, and leaves it unread.
+//! - `NAME fills`: no connection comes up there any more, and none is refused: the queue of those that wait to be accepted is
+//!   full. `NAME empties`: it is empty again.
 //! - `WHO takes`: the next connection, in place of the present one. `WHO shut`: half-close. `WHO close`.
 //!   `WHO ends`: the program closes its side. `WHO parts`: so it does, and no reset destroys what it said before. `WHO floods`: sends until the program has had enough. `NAME refuses`: nobody listens there any more.
 //! - `NAME tells HEX`, `NAME hears HEX`: a message of a VRRP router. `active`: the program listens for clients.
 //! - `hold`: the script holds the clients' listener, and programs inherit it. `beside`: another program starts beside
 //!   the present one, which is `old` from then on: `old log TEXT`, `old term`, `old exits`, and a name that begins
-//!   with `oop` connects to its door. `ends now`: the newest is killed, and the old one is the present one again.
+//!   with `oop` connects to its admin interface. `ends now`: the newest is killed, and the old one is the present one again.
 //!   `NAME meets`: connects where a successor would; `NAME awaits`: listens where a predecessor would.
 //! - `stop`: the program stands still from here on, and finds all that comes meanwhile at once at `cont`.
 //! - `rewrite`: the configuration's file anew, with what was `set` since. `spoil`: the file is no JSON any more.
@@ -38,6 +40,8 @@
 use std::time::Duration;
 
 const PATIENCE: Duration = Duration::from_secs(20);
+/// A connection to this machine that is not there after this time will not come up: its queue is full.
+const FULL_AFTER: Duration = Duration::from_millis(300);
 const SETTINGS: &str = include_str!("exchanges/settings.json");
 
 #[derive(Default)]
@@ -53,6 +57,7 @@
     id: String,
     udp: Option<UdpSocket>,
     meeting: Option<UnixListener>,
+    waiting: Vec<TcpStream>, // connections of our own that fill the listener's queue
 }
 
 struct Program {
@@ -61,7 +66,7 @@
     log: Receiver<String>,
     address: SocketAddr,
     search: Option<SocketAddr>,
-    door: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
     store: Option<SocketAddr>,
     vrrp: Option<SocketAddr>,
 }
@@ -189,12 +194,12 @@
             .as_ref()
             .map_or(SocketAddr::from(([127, 0, 0, 1], 0)), |held| held.local_addr().expect("an address"));
         let mut program =
-            Program { child, path, log, address, search: None, door: None, store: None, vrrp: None };
+            Program { child, path, log, address, search: None, admin: None, store: None, vrrp: None };
         if !self.set.contains_key("vrrp") && self.held.is_none() {
             program.active(self.set.contains_key("search"));
         }
         if self.set.contains_key("operator") {
-            program.door = Some(program.await_address("door: operators are heard on "));
+            program.admin = Some(program.await_address("door: operators are heard on "));
         }
         if self.set.contains_key("store") {
             program.store = Some(program.await_address("store: node "));
@@ -217,13 +222,13 @@
             let program = self.program.as_ref();
             let search = program.and_then(|program| program.search).filter(|_| name.starts_with("os"));
             let store = program.and_then(|program| program.store).filter(|_| name.starts_with("node"));
-            let old = self.old.as_ref().and_then(|old| old.door).filter(|_| name.starts_with("oop"));
-            let door = program.and_then(|program| program.door).filter(|_| name.starts_with("op")).or(old);
+            let old = self.old.as_ref().and_then(|old| old.admin).filter(|_| name.starts_with("oop"));
+            let admin = program.and_then(|program| program.admin).filter(|_| name.starts_with("op")).or(old);
             // Where the script holds the listener, clients may come before the program does.
             let held =
                 || self.held.as_ref().and_then(|held| held.local_addr().ok()).expect("started or held");
             let front = program.map_or_else(held, |program| program.address);
-            let (frames, address) = (store.is_some(), search.or(door).or(store).unwrap_or(front));
+            let (frames, address) = (store.is_some(), search.or(admin).or(store).unwrap_or(front));
             let stream = TcpStream::connect(address).expect("a connection");
             stream.set_nodelay(true).expect("no delay");
             self.peers.insert(name.into(), Peer { stream: Some(stream), frames, ..Peer::default() });
@@ -280,6 +285,22 @@
         (self.stream, self.got) = (Some(stream), Vec::new());
     }
 
+    /// Fills the listener's queue: the system takes connections without our doing until there is no room for another.
+    fn fill(&mut self) {
+        let address = self.address.expect("it listens");
+        while let Ok(stream) = TcpStream::connect_timeout(&address, FULL_AFTER) {
+            self.waiting.push(stream);
+            assert!(self.waiting.len() < 10_000, "its queue has no end");
+        }
+    }
+
+    /// Takes all that fill the queue from it. They came first.
+    fn empty(&mut self) {
+        for _ in self.waiting.drain(..) {
+            self.listener.as_ref().expect("it listens").accept().expect("one that filled the queue");
+        }
+    }
+
     fn stream(&mut self) -> &mut TcpStream {
         if self.stream.is_none() {
             self.accept();
@@ -464,6 +485,8 @@
         [who, "raw", text] => stage.peer(who).stream().write_all(&bytes(text)).expect("it takes them"),
         [who, "<", text] => stage.peer(who).hear(text),
         [who, "takes"] => stage.peer(who).accept(),
+        [who, "fills"] => stage.peer(who).fill(),
+        [who, "empties"] => stage.peer(who).empty(),
         [who, "finds"] => {
             let found = stage.peer(who).stream().peek(&mut [0]).expect("something comes");
             assert!(found > 0, "it is closed");
