Trust heartbeats only once discovery has answered one, before a watch is long or put off

Cause, found in review: an answered whole list counted as an answered heartbeat, so a discovery that refuses wait=0, or waits all the same, got a watch of 60 s that nothing guarded until five heartbeats had failed; a large fleet's watch could be put off there with no heartbeat beside it. Only calls for changes that were answered count now, and where heartbeats fail five times in a row a watch that was put off is opened at once. A whole list that repeats what is known is read once in every case (its hash was kept only where it brought news). Pushed lists: a heartbeat no longer starts over one that is out.

--- a/src/choices/heartbeat.rs
+++ b/src/choices/heartbeat.rs
@@ -173,14 +173,20 @@
     }
 
     /// How long to go on with heartbeats alone before a watch that fell silent is opened anew
-    /// (seconds); `jitter` is from 0 to 1. Nothing where the fleet's heartbeats leave room for that.
+    /// (seconds); `jitter` is from 0 to 1. Nothing where the fleet's heartbeats leave room for that, or guard nothing.
     pub fn reopen_delay_s(&self, jitter: f64) -> f64 {
         let mixers = f64::from(self.fleet.mixers);
         let left_per_s = (CALLS_PER_S - mixers / self.period_s).max(mixers / MAX_REOPEN_S);
-        let spread_s = if self.fleet.pushed { 0.0 } else { mixers / left_per_s - self.period_s };
+        let spread_s =
+            if self.fleet.pushed || !self.trusted { 0.0 } else { mixers / left_per_s - self.period_s };
         jitter * spread_s.clamp(0.0, MAX_REOPEN_S)
     }
 
+    /// Whether this discovery has lately answered such calls at once, so that they guard a watch.
+    pub fn is_trusted(&self) -> bool {
+        self.trusted
+    }
+
     /// How long the next watch waits; `jitter` is from 0 to 1.
     pub fn watch_times(&self, jitter: f64) -> WatchTimes {
         let UnguardedWait { min_s, each_s, max_s, pushed_s } = UNGUARDED_WAIT_S;
--- a/src/choices/heartbeat/tests.rs
+++ b/src/choices/heartbeat/tests.rs
@@ -208,6 +208,21 @@
     assert_eq!(heartbeat.patience_s(), PATIENCE_S);
 }
 
+/// Only fleets whose heartbeats take most of discovery's time put their watches off, and only where heartbeats guard.
+#[test]
+fn a_watch_is_put_off_only_where_heartbeats_leave_no_room() {
+    let delay_s = |mixers, pushed, answered| {
+        let mut heartbeat = Heartbeat::new(Fleet { mixers, pushed }, 0.0, 0.5);
+        if answered {
+            heartbeat.answered(0.0);
+        }
+        heartbeat.reopen_delay_s(1.0)
+    };
+    assert_eq!([2, 350, 500].map(|mixers| delay_s(mixers, false, true)), [0.0; 3]);
+    assert_eq!((delay_s(1000, true, true), delay_s(1000, false, false)), (0.0, 0.0));
+    assert!([1000, 5000].iter().all(|mixers| (20.0..=MAX_REOPEN_S).contains(&delay_s(*mixers, false, true))));
+}
+
 /// A watch that no heartbeat guards is given up in time to ask again, as far as discovery bears it; a guarded one is long.
 #[rstest::rstest]
 #[case(2)]
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -370,6 +370,10 @@
         if !self.link.heartbeat.take_due(self.now + TIMER_STEP_S) {
             return;
         }
+        if self.call_on(self.link.heartbeat_conn).is_some() {
+            let next_at = self.link.heartbeat.start(self.now);
+            return self.agenda.add(next_at, Due::Heartbeat);
+        }
         let since = self.revision.filter(|_| self.is_watch_open() || self.link.reopen_at.is_some());
         let Some(since) = since else { return self.link.heartbeat.stop() };
         if let Some(until) = self.link.oversize.blocked_until(self.now) {
@@ -383,12 +387,15 @@
     }
 
     fn is_watch_open(&self) -> bool {
-        let conn = self.link.watch.and_then(|key| self.conns.get(key));
-        let call = conn.and_then(|conn| match conn {
-            Conn::Discovery(conn) => conn.open_call,
+        self.call_on(self.link.watch).is_some_and(|open| open.call.waits())
+    }
+
+    /// The call that is out on a connection.
+    fn call_on(&self, key: Option<ConnKey>) -> Option<OpenCall> {
+        match self.conns.get(key?) {
+            Some(Conn::Discovery(conn)) => conn.open_call,
             _ => None,
-        });
-        call.is_some_and(|open| open.call.waits())
+        }
     }
 
     pub(super) fn discovery_event(&mut self, key: ConnKey) {
@@ -451,10 +458,11 @@
         // Two connections are read in no order: what was asked before the last list came may be older than that.
         let is_stale = open.known != before && told <= before;
         let has_news = told.is_some() && told != before;
-        if !is_stale && (has_news || open.call.waits() || open.call == Call::WholeList || told.is_none()) {
-            if !self.take_list(&list) {
-                return Err(DiscoveryError::NoMembers);
-            }
+        let is_wanted = has_news || open.call.waits() || open.call == Call::WholeList || told.is_none();
+        if !is_stale && is_wanted && !self.take_list(&list) {
+            return Err(DiscoveryError::NoMembers);
+        }
+        if !is_stale {
             self.link.last_answer = Some(hash);
         }
         Ok(has_news && !is_stale)
@@ -465,7 +473,8 @@
         if std::mem::take(&mut self.link.failed_opens) > 0 {
             self.take_entries(false, Vec::new()); // the module counts failures up to the next list
         }
-        if !open.call.waits() {
+        // A whole list that came is no proof that calls for changes are answered at once.
+        if matches!(open.call, Call::Changes { .. }) {
             let next_at = self.link.heartbeat.answered(self.now);
             self.agenda.add(next_at, Due::Heartbeat);
         }
@@ -559,6 +568,9 @@
             Role::Heartbeat => {
                 let next_at = self.link.heartbeat.failed(self.now);
                 self.agenda.add(next_at, Due::Heartbeat);
+                if !self.link.heartbeat.is_trusted() && self.link.reopen_at.take().is_some() {
+                    self.ask(); // heartbeats alone are no guard any more
+                }
             }
         }
     }
