Look at attempts for silence only once they are old, and find calls by replica

The progress of a query takes over shards to cells, so that new settings recount without a second look at the parts.

Result: the same decisions.

--- a/src/choices/mod.rs
+++ b/src/choices/mod.rs
@@ -10,3 +10,4 @@
 pub mod phases;
 pub mod price;
 pub mod progress;
+pub mod stragglers;
--- a/src/choices/progress.rs
+++ b/src/choices/progress.rs
@@ -56,7 +56,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Tracked {
     weight: Units,
-    cell: u32,
+    shard: u32,
     state: PartState,
 }
 
@@ -75,6 +75,7 @@
 /// The parts of a query's step, by their place in it, and what they add up to.
 #[derive(Debug, Default, PartialEq)]
 pub struct Progress {
+    cells: u32,
     parts: Vec<Tracked>,
     answered: Units,
     in_flight: Units,
@@ -87,9 +88,25 @@
 }
 
 impl Progress {
-    /// One more part, a spare, whose shard begins at this cell.
-    pub fn push(&mut self, weight: f64, cell: u32) {
-        let part = Tracked { weight: units(weight), cell, state: PartState::Spare };
+    /// Of no parts yet, where shards lie in so many cells.
+    pub fn new(cells: u32) -> Progress {
+        Progress { cells, ..Progress::default() }
+    }
+
+    /// The number of cells has changed.
+    pub fn set_cells(&mut self, cells: u32) {
+        self.cells = cells;
+        self.untried.clear();
+        for part in &self.parts {
+            if part.state == (PartState::Pending { untried: true }) {
+                *self.untried.entry(cell_of(part.shard, cells)).or_default() += 1;
+            }
+        }
+    }
+
+    /// One more part, a spare, that reads this shard.
+    pub fn push(&mut self, weight: f64, shard: u32) {
+        let part = Tracked { weight: units(weight), shard, state: PartState::Spare };
         self.spare += part.weight;
         self.parts.push(part);
     }
@@ -109,7 +126,7 @@
             PartState::Pending { untried } => {
                 self.pending.insert(place);
                 if untried {
-                    *self.untried.entry(part.cell).or_default() += 1;
+                    *self.untried.entry(cell_of(part.shard, self.cells)).or_default() += 1;
                 }
             }
             PartState::InFlight(flight) => {
@@ -129,7 +146,9 @@
             PartState::Answered => self.answered -= part.weight,
             PartState::Pending { untried } => {
                 self.pending.remove(&place);
-                if let Some(count) = self.untried.get_mut(&part.cell).filter(|_| untried) {
+                if let Some(count) =
+                    self.untried.get_mut(&cell_of(part.shard, self.cells)).filter(|_| untried)
+                {
                     *count -= 1;
                 }
             }
@@ -198,6 +217,11 @@
     }
 }
 
+/// The cell at which a shard begins.
+fn cell_of(shard: u32, cells: u32) -> u32 {
+    shard.checked_rem(cells).unwrap_or(0)
+}
+
 impl InFlight {
     fn key(&self, place: usize) -> Single {
         (Group { ahead: self.ahead, ejected: self.ejected }, Moment(self.sent_at), place)
--- a/src/choices/progress/tests.rs
+++ b/src/choices/progress/tests.rs
@@ -15,14 +15,14 @@
     ]
 }
 
-/// A part's weight and cell.
+/// A part's weight and shard.
 type Part = (f64, u32);
 
 /// A part's place, and where it stands from now on.
 type Change = (usize, PartState);
 
 fn parts_and_changes() -> impl Strategy<Value = (Vec<Part>, Vec<Change>)> {
-    let part = (prop_oneof![Just(0.0), 1e-30..1e-20, 0.001..1.0, Just(1e300)], 0_u32..5);
+    let part = (prop_oneof![Just(0.0), 1e-30..1e-20, 0.001..1.0, Just(1e300)], 0_u32..12);
     (prop::collection::vec(part, 1..30), prop::collection::vec((0_usize..30, state()), 0..200))
 }
 
@@ -51,10 +51,10 @@
         places.map(|place| (place, units(self.parts[place].0))).collect()
     }
 
-    fn untried(&self, cells: &[u32]) -> usize {
+    fn untried(&self, cells: u32, of: &[u32]) -> usize {
         let untried = |state: &PartState| *state == PartState::Pending { untried: true };
-        let of = self.parts.iter().zip(self.states);
-        of.filter(|((_, cell), state)| untried(state) && cells.contains(cell)).count()
+        let parts = self.parts.iter().zip(self.states);
+        parts.filter(|((_, shard), state)| untried(state) && of.contains(&(shard % cells))).count()
     }
 
     fn sent_by(&self, group: Group, limit: f64) -> Vec<usize> {
@@ -77,7 +77,7 @@
 proptest! {
     #[test]
     fn counts_are_those_of_a_full_recount((parts, changes) in parts_and_changes(), limit in 0_u8..20) {
-        let mut progress = Progress::default();
+        let mut progress = Progress::new(5);
         parts.iter().for_each(|(weight, cell)| progress.push(*weight, *cell));
         let mut states = vec![PartState::Spare; parts.len()];
         for (place, state) in changes {
@@ -94,7 +94,7 @@
             let places: Vec<usize> = recount.in_flight().map(|(place, _)| place).collect();
             prop_assert_eq!(progress.places_in_flight(), places);
             prop_assert_eq!(progress.pending().collect::<Vec<_>>(), recount.pending());
-            prop_assert_eq!(progress.untried([1, 3].into_iter()), recount.untried(&[1, 3]));
+            prop_assert_eq!(progress.untried([1, 3].into_iter()), recount.untried(5, &[1, 3]));
             prop_assert_eq!(progress.oldest(), recount.oldest());
             for (ahead, ejected) in [(false, false), (false, true), (true, false), (true, true)] {
                 let group = Group { ahead, ejected };
@@ -102,6 +102,9 @@
                 prop_assert_eq!(due, recount.sent_by(group, f64::from(limit)));
             }
         }
+        progress.set_cells(3);
+        let recount = Recount { parts: &parts, states: &states };
+        prop_assert_eq!(progress.untried([0, 2].into_iter()), recount.untried(3, &[0, 2]));
     }
 }
 
--- a/src/core.rs
+++ b/src/core.rs
@@ -333,7 +333,8 @@
     last_number: u32,
     events: VecDeque<Event>,
     actions: Vec<Action>,
-    calls: Vec<(ReplicaId, Vec<CallPart>)>,
+    calls: Vec<(ReplicaId, Vec<CallPart>)>, // of this round, in the order of their first parts
+    calls_to: BTreeMap<ReplicaId, usize>,   // the place of each among them
     figures: [Figures; 2],
     phases: Phases,
     recorded: Option<Vec<(ReplicaId, f64, bool)>>, // attempts made that a successor was not told of yet
@@ -361,6 +362,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             calls: Vec::new(),
+            calls_to: BTreeMap::new(),
             figures,
             recorded: None,
             beside: Load::default(),
@@ -621,6 +623,7 @@
             self.actions = actions;
         }
         let most = self.deployment.policy.call_parts.max(1) as usize;
+        self.calls_to.clear();
         for (replica, mut parts) in std::mem::take(&mut self.calls) {
             while !parts.is_empty() {
                 let rest = parts.split_off(parts.len().min(most));
@@ -709,10 +712,11 @@
         out.push(Command::WakeAt { at: now + wait_s, wake: Wake::Attempt(key) });
         let (asked, place) = (request.asked.clone(), part.place);
         let sent = CallPart { attempt: key, asked, place, wait_s, ahead, leave_by };
-        match self.calls.iter_mut().find(|(to, _)| *to == replica) {
-            Some((_, parts)) => parts.push(sent),
-            None => self.calls.push((replica, vec![sent])),
+        let place = *self.calls_to.entry(replica).or_insert(self.calls.len());
+        if place == self.calls.len() {
+            self.calls.push((replica, Vec::new()));
         }
+        self.calls[place].1.push(sent);
     }
 
     /// Takes an attempt's one outcome; a second one finds nothing.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,6 +6,7 @@
 use crate::choices::idle_loss::IdleLosses;
 use crate::choices::price::{fallen_in_s, MOST_REFUSED, TOKENS};
 use crate::choices::progress::{share, Group, Progress};
+use crate::choices::stragglers::{AttemptId, Stragglers};
 use crate::choices::{asking::Asking, jam::Jam};
 use crate::held::*;
 use crate::times::{self, Schedule};
@@ -44,6 +45,7 @@
     cells: Vec<Vec<ReplicaId>>, // replicas by cell, how many there are, and what they take on average
     present: usize,
     pace: Pace,
+    stragglers: Stragglers,
     alarmed: bool,  // a replica or lane may have been barred since the last sweep
     ejections: u64, // how often what is barred has changed
     jam: Jam,
@@ -73,6 +75,7 @@
             cells: Vec::new(),
             present: 1,
             pace: Pace::default(),
+            stragglers: Stragglers::default(),
             alarmed: false,
             ejections: 0,
             jam: Jam::new(MOST_REFUSED * TOKENS),
@@ -304,21 +307,8 @@
         self.kept_s = new.budget.map_or(RATE_S, |budget| RATE_S.max(2.0 * budget.span_s));
         self.cfg = Settings { classes, ..new };
         self.take_list(false, &[]); // who holds a shard may have changed
-        self.recount();
-    }
-
-    /// The progress of all queries anew: cells may have changed.
-    fn recount(&mut self) {
         let cells = self.cfg.cells;
-        let mut parts = Vec::new();
-        for query in self.queries.values_mut() {
-            query.progress = Progress::default();
-            for part in query.parts.iter().map(|id| &self.parts[id]) {
-                query.progress.push(part.weight, cell_of(part.shard, cells));
-            }
-            parts.extend(&query.parts);
-        }
-        parts.into_iter().for_each(|part| self.recount_part(part));
+        self.queries.values_mut().for_each(|query| query.progress.set_cells(cells));
     }
 
     /// Where a part stands is counted anew: after each change of it.
@@ -349,6 +339,7 @@
         if query.expected == 0 || self.give_up_at(&query) <= self.now {
             return out.push(refusal);
         }
+        query.progress = Progress::new(self.cfg.cells);
         query.in_share = self.in_share(new.tenant as usize);
         self.queries.insert(new.id, query);
         self.numbers.insert(new.number, new.id);
@@ -384,7 +375,7 @@
         query.parts.push(new.id);
         query.likeness.3.push(new.shard);
         let weight = if new.weight.is_finite() { new.weight.max(0.0) } else { 0.0 };
-        query.progress.push(weight, cell_of(new.shard, self.cfg.cells));
+        query.progress.push(weight, new.shard);
         let (class, wanted) = (query.class, query.second_step);
         let complete = query.parts.len() == query.expected;
         let work = new.cost_hint_s.filter(|work| *work > 0.0 && work.is_finite());
@@ -516,14 +507,18 @@
         self.convictions.is_convicted(self.now, &query.likeness, query.repeat)
     }
 
+    /// Replicas that hold a shard.
+    fn all_holders(&self, shard: u32) -> impl Iterator<Item = &Replica> {
+        let cell = move |step: u32| (u64::from(shard) + u64::from(step)) % u64::from(self.cfg.cells);
+        let cells = (0..self.cfg.reach.min(self.cfg.cells)).map(cell);
+        let held = cells.filter_map(|cell| self.cells.get(cell as usize)).flatten();
+        held.map(|id| &self.replicas[id])
+    }
+
     /// Replicas that hold a shard and that the rules let us send to now. Barred ones are left out, unless
     /// all are barred: a shard's last holders are never shut out. Where all drain, they are used while the
     /// grace after being told lasts: guards against refusing what the next list may have a holder for.
     fn holders(&self, shard: u32, class: usize) -> impl Iterator<Item = &Replica> {
-        let cell = |step: u32| (u64::from(shard) + u64::from(step)) % u64::from(self.cfg.cells);
-        let held =
-            (0..self.cfg.reach.min(self.cfg.cells)).filter_map(|step| self.cells.get(cell(step) as usize));
-        let all = || held.clone().flatten().map(|id| &self.replicas[id]);
         let ready =
             |replica: &&Replica| replica.entry.lifecycle == Lifecycle::Ready && !self.too_cold(replica);
         let grace = PARTING * self.cfg.drain_grace_s;
@@ -531,9 +526,9 @@
             let drains = replica.entry.lifecycle == Lifecycle::Draining;
             drains && self.now < replica.known.told_at + grace && !self.too_cold(replica)
         };
-        let mut held: Vec<_> = all().filter(ready).collect();
+        let mut held: Vec<_> = self.all_holders(shard).filter(ready).collect();
         if held.is_empty() {
-            held = all().filter(parting).collect();
+            held = self.all_holders(shard).filter(parting).collect();
         }
         let any_sound = held.iter().any(|replica| replica.usable(class, self.now));
         held.into_iter().filter(move |replica| !any_sound || replica.usable(class, self.now))
@@ -670,6 +665,7 @@
         let beside = self.pace.sent();
         let attempt =
             Attempt { replica: target, sent_at: self.now, lane, idle, beside, ..Attempt::default() };
+        self.stragglers.sent(self.now, (id, part.attempts.len()));
         self.parts.get_mut(&id).expect("looked up above").attempts.push(attempt);
         self.recount_part(id);
         if ahead.is_none() {
@@ -750,17 +746,17 @@
         if part.answered || !part.wanted || held_back {
             return !held_back;
         }
-        let flights: Vec<(usize, Attempt)> = part.out().map(|(number, attempt)| (number, *attempt)).collect();
-        let Some((number, first)) = flights.first().copied() else {
+        let Some((number, first)) = part.out().next().map(|(number, attempt)| (number, *attempt)) else {
             if !part.turned_away() || self.worth_another(id, true) {
                 self.send(id, out);
             }
             return false;
         };
+        let has_copy = part.out().nth(1).is_some();
         let (age, overdue) = (self.now - first.sent_at - first.excused, self.overdue_s(first.lane));
         let barred = self.replicas.get(&first.replica).is_some_and(|replica| replica.barred(first.lane));
         let due = age >= if barred { overdue / 2.0 } else { overdue.max(self.patience_s(part.class)) };
-        if flights.len() > 1 || first.cancelled || !due || self.is_braked() {
+        if has_copy || first.cancelled || !due || self.is_braked() {
             return !barred;
         }
         let (safe, query) = (self.safe(part.class), part.query);
@@ -791,11 +787,13 @@
         let query = part.query.filter(|_| turned_away).and_then(|query| self.queries.get(&query));
         let left = query.map_or(0.0, |query| IN_TIME * (self.give_up_at(query) - self.now));
         let swift = SWIFT * self.past.latencies[part.class].usual;
-        self.holders(part.shard, part.class).any(|replica| {
+        let is_worth = |replica: &Replica| {
             let mut there = part.attempts.iter().filter(|at| at.replica == replica.entry.id).peekable();
             let limit = if there.peek().is_none() { swift.max(left) } else { swift };
             there.all(|attempt| attempt.outcome.is_some()) && self.expected_latency(replica) <= limit
-        })
+        };
+        // Mostly none is, which costs less to see than whom the rules let us send to.
+        self.all_holders(part.shard).any(is_worth) && self.holders(part.shard, part.class).any(is_worth)
     }
 
     /// Sends a part that a whole answer did not need, in place of another that is late.
@@ -932,7 +930,7 @@
     /// Calls off what is out of a step that is over; parts stay known until their attempts have ended.
     fn drop_parts(&mut self, id: QueryId, out: &mut Vec<Action>) {
         let Some(query) = self.queries.get_mut(&id) else { return };
-        query.progress = Progress::default();
+        query.progress = Progress::new(self.cfg.cells);
         for id in std::mem::take(&mut query.parts) {
             let part = self.parts.get_mut(&id).expect("parts of open queries are held");
             part.query = None;
@@ -1015,31 +1013,34 @@
     fn bar_the_silent(&mut self) {
         let limits: Vec<f64> =
             (0..self.past.latencies.len()).map(|class| SILENCE * self.overdue_s(class)).collect();
-        for part in self.parts.values_mut() {
-            for attempt in part.attempts.iter_mut().filter(|attempt| attempt.outcome.is_none()) {
-                let sent_at = attempt.sent_at + attempt.excused;
-                if self.now - sent_at <= limits[attempt.lane] {
-                    continue;
-                }
-                self.alarmed = true;
-                let Some(replica) = self.replicas.get_mut(&attempt.replica) else { continue };
-                let aim = self.cfg.classes[attempt.lane].aim_s;
-                let lane = &mut replica.known.lanes[attempt.lane];
-                let limit =
-                    limits[attempt.lane].max(2.0 * self.pace.average * replica.known.slower.unwrap_or(0.0));
-                if !attempt.silent && self.now - sent_at > limit {
-                    attempt.silent = true;
-                    let weight = if lane.heard_at > sent_at { 1 } else { FAILURES_TO_EJECT };
-                    self.ejections += u64::from(lane.bar.failed(self.now, aim, weight));
-                    if replica.known.heard_at <= sent_at && self.idle_losses.lost(attempt.idle) {
-                        replica.lost_idle = Some(attempt.idle);
-                    }
-                }
-                if self.now - replica.known.heard_at.max(sent_at) > limit && replica.known.bar.until.is_none()
-                {
-                    self.ejections += u64::from(replica.known.bar.failed(self.now, aim, FAILURES_TO_EJECT));
+        let limit = self.now - limits.iter().copied().fold(f64::MAX, f64::min) + ROUNDING_S;
+        let in_flight = |(part, number): &AttemptId| {
+            let attempt = self.parts.get(part).and_then(|part| part.attempts.get(*number));
+            attempt.is_some_and(|attempt| attempt.outcome.is_none())
+        };
+        for (part, number) in self.stragglers.sent_by(limit, in_flight) {
+            let attempt = &mut self.parts.get_mut(&part).expect("in flight").attempts[number];
+            let sent_at = attempt.sent_at + attempt.excused;
+            if self.now - sent_at <= limits[attempt.lane] {
+                continue;
+            }
+            self.alarmed = true;
+            let Some(replica) = self.replicas.get_mut(&attempt.replica) else { continue };
+            let aim = self.cfg.classes[attempt.lane].aim_s;
+            let lane = &mut replica.known.lanes[attempt.lane];
+            let limit =
+                limits[attempt.lane].max(2.0 * self.pace.average * replica.known.slower.unwrap_or(0.0));
+            if !attempt.silent && self.now - sent_at > limit {
+                attempt.silent = true;
+                let weight = if lane.heard_at > sent_at { 1 } else { FAILURES_TO_EJECT };
+                self.ejections += u64::from(lane.bar.failed(self.now, aim, weight));
+                if replica.known.heard_at <= sent_at && self.idle_losses.lost(attempt.idle) {
+                    replica.lost_idle = Some(attempt.idle);
                 }
             }
+            if self.now - replica.known.heard_at.max(sent_at) > limit && replica.known.bar.until.is_none() {
+                self.ejections += u64::from(replica.known.bar.failed(self.now, aim, FAILURES_TO_EJECT));
+            }
         }
     }
 
@@ -1066,8 +1067,3 @@
         }
     }
 }
-
-/// The cell at which a shard begins.
-fn cell_of(shard: u32, cells: u32) -> u32 {
-    shard.checked_rem(cells).unwrap_or(0)
-}
