Look after a spare that is wanted while its query is looked after, as before

Cause: the list of parts to look at was made before the first of them was looked at. A spare that is wanted in place of a late part, but finds no holder, is pending from then on and stands behind that part: the module before looked at it once more in the same round, when a part sent meanwhile may have left a cold replica more room.

Change: the next part to look at is asked of the progress each time. A late part looks for its spare without passing over all parts where there is none.

--- a/src/choices/crashes.rs
+++ b/src/choices/crashes.rs
@@ -53,3 +53,6 @@
         self.by_fingerprint.clear();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/choices/ejection.rs
+++ b/src/choices/ejection.rs
@@ -32,3 +32,6 @@
         self.failures == 0 && self.until.take().is_some()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/choices/idle_loss.rs
+++ b/src/choices/idle_loss.rs
@@ -55,3 +55,6 @@
         now < self.believed_until && idle_s >= MARGIN * self.lost_from_s
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/choices/progress.rs
+++ b/src/choices/progress.rs
@@ -80,6 +80,7 @@
     answered: Units,
     in_flight: Units,
     spare: Units,
+    spare_count: usize,
     in_flight_count: usize,
     ejected_count: usize,
     pending: BTreeSet<usize>,
@@ -107,7 +108,7 @@
     /// One more part, a spare, that reads this shard.
     pub fn push(&mut self, weight: f64, shard: u32) {
         let part = Tracked { weight: units(weight), shard, state: PartState::Spare };
-        self.spare += part.weight;
+        self.count(self.parts.len(), part);
         self.parts.push(part);
     }
 
@@ -121,7 +122,10 @@
 
     fn count(&mut self, place: usize, part: Tracked) {
         match part.state {
-            PartState::Spare => self.spare += part.weight,
+            PartState::Spare => {
+                self.spare += part.weight;
+                self.spare_count += 1;
+            }
             PartState::Answered => self.answered += part.weight,
             PartState::Pending { untried } => {
                 self.pending.insert(place);
@@ -142,7 +146,10 @@
 
     fn discount(&mut self, place: usize, part: Tracked) {
         match part.state {
-            PartState::Spare => self.spare -= part.weight,
+            PartState::Spare => {
+                self.spare -= part.weight;
+                self.spare_count -= 1;
+            }
             PartState::Answered => self.answered -= part.weight,
             PartState::Pending { untried } => {
                 self.pending.remove(&place);
@@ -178,6 +185,16 @@
         self.spare
     }
 
+    /// The place of the first spare.
+    pub fn first_spare(&self) -> Option<usize> {
+        let is_spare = |part: &Tracked| part.state == PartState::Spare;
+        if self.spare_count > 0 {
+            self.parts.iter().position(is_spare)
+        } else {
+            None
+        }
+    }
+
     /// Whether anything is in flight for a part without an answer.
     pub fn is_in_flight(&self) -> bool {
         self.in_flight_count > 0
@@ -194,6 +211,17 @@
         self.pending.iter().map(|place| (*place, self.parts[*place].weight))
     }
 
+    /// The place of the first wanted part with nothing in flight, from that place on.
+    pub fn next_pending(&self, from: usize) -> Option<usize> {
+        self.pending.range(from..).next().copied()
+    }
+
+    /// The next place from that one on that is pending, as things are now, or stands in an ordered list.
+    pub fn next_due(&self, late: &[usize], from: usize) -> Option<usize> {
+        let late = late.get(late.partition_point(|place| *place < from)).copied();
+        self.next_pending(from).into_iter().chain(late).min()
+    }
+
     /// How many wanted parts whose shards begin at one of these cells were never sent.
     pub fn untried(&self, cells: impl Iterator<Item = u32>) -> usize {
         cells.filter_map(|cell| self.untried.get(&cell)).sum()
--- a/src/choices/progress/tests.rs
+++ b/src/choices/progress/tests.rs
@@ -88,12 +88,17 @@
             let recount = Recount { parts: &parts, states: &states };
             prop_assert_eq!(progress.answered(), recount.weight(|state| *state == PartState::Answered));
             prop_assert_eq!(progress.spare(), recount.weight(|state| *state == PartState::Spare));
+            let first_spare = states.iter().position(|state| *state == PartState::Spare);
+            prop_assert_eq!(progress.first_spare(), first_spare);
             let in_flight = |state: &PartState| matches!(state, PartState::InFlight(_));
             prop_assert_eq!(progress.in_flight(), recount.weight(in_flight));
             prop_assert_eq!(progress.is_in_flight(), recount.in_flight().next().is_some());
             let places: Vec<usize> = recount.in_flight().map(|(place, _)| place).collect();
             prop_assert_eq!(progress.places_in_flight(), places);
             prop_assert_eq!(progress.pending().collect::<Vec<_>>(), recount.pending());
+            let pending = recount.pending().into_iter().map(|(place, _)| place);
+            let due = pending.chain([2, 7]).filter(|place| *place >= 3).min();
+            prop_assert_eq!(progress.next_due(&[2, 7], 3), due);
             prop_assert_eq!(progress.untried([1, 3].into_iter()), recount.untried(5, &[1, 3]));
             prop_assert_eq!(progress.oldest(), recount.oldest());
             for (ahead, ejected) in [(false, false), (false, true), (true, false), (true, true)] {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -710,21 +710,21 @@
         (self.past.latencies[class].late * OVERDUE).min(self.cfg.classes[class].aim_s)
     }
 
-    /// Parts for which something may be due, by place: with nothing in flight, or with one attempt for long.
-    fn due_parts(&self, query: &Query) -> Vec<PartId> {
-        let mut due: Vec<usize> = query.progress.pending().map(|(place, _)| place).collect();
-        let is_braked = due.is_empty() && self.is_braked();
+    /// Places of parts with a single attempt out for long, in order: none while nothing can be sent for lateness.
+    fn late_parts(&self, query: &Query) -> Vec<usize> {
+        let mut late = Vec::new();
+        let is_braked = query.progress.next_pending(0).is_none() && self.is_braked();
         let ahead = query.ahead.map(|ahead| (true, ahead.class.into()));
         for (ahead, lane) in ahead.into_iter().chain([(false, query.class)]).filter(|_| !is_braked) {
             let overdue = self.overdue_s(lane);
             for (ejected, age) in [(false, overdue.max(self.patience_s(query.class))), (true, overdue / 2.0)]
             {
                 let limit = self.now - age + ROUNDING_S;
-                due.extend(query.progress.sent_by(Group { ahead, ejected }, limit));
+                late.extend(query.progress.sent_by(Group { ahead, ejected }, limit));
             }
         }
-        due.sort_unstable();
-        due.into_iter().map(|place| query.parts[place]).collect()
+        late.sort_unstable();
+        late
     }
 
     /// Whether no part gets another attempt for lateness now.
@@ -799,9 +799,8 @@
     /// Sends a part that a whole answer did not need, in place of another that is late.
     fn send_spare(&mut self, query: Option<QueryId>, out: &mut Vec<Action>) -> bool {
         let Some(query) = query.and_then(|query| self.queries.get(&query)) else { return false };
-        let spares = self.cfg.classes[query.class].need < 1.0;
-        let spare = query.parts.iter().find(|id| spares && !self.parts[id].wanted).copied();
-        let Some(spare) = spare else { return false };
+        let spare = query.progress.first_spare().filter(|_| self.cfg.classes[query.class].need < 1.0);
+        let Some(spare) = spare.map(|place| query.parts[place]) else { return false };
         self.want(spare);
         self.send(spare, out)
     }
@@ -875,9 +874,11 @@
         }
         let until = self.answer_in_part_at(query).min(self.give_up_at(query));
         self.recount_ejected(id);
-        let mut calm = true;
-        for part in self.due_parts(&self.queries[&id]) {
-            calm &= self.tend_part(part, out);
+        let late = self.late_parts(&self.queries[&id]);
+        let (mut calm, mut from) = (true, 0);
+        while let Some(place) = self.queries[&id].progress.next_due(&late, from) {
+            calm &= self.tend_part(self.queries[&id].parts[place], out);
+            from = place + 1;
         }
         // Calm is a query of which every part is out: only time or an answer brings it any further.
         let query = &self.queries[&id];
