--- a/src/choices/mod.rs
+++ b/src/choices/mod.rs
@@ -11,4 +11,5 @@
 pub mod phases;
 pub mod price;
 pub mod progress;
+pub mod stragglers;
 pub mod watch_schedule;
--- a/src/choices/progress.rs
+++ b/src/choices/progress.rs
@@ -56,7 +56,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Tracked {
     weight: Units,
-    cell: u32,
+    shard: u32,
     state: PartState,
 }
 
@@ -75,10 +75,12 @@
 /// The parts of a query's step, by their place in it, and what they add up to.
 #[derive(Debug, Default, PartialEq)]
 pub struct Progress {
+    cells: u32,
     parts: Vec<Tracked>,
     answered: Units,
     in_flight: Units,
     spare: Units,
+    spare_count: usize,
     in_flight_count: usize,
     ejected_count: usize,
     pending: BTreeSet<usize>,
@@ -87,10 +89,26 @@
 }
 
 impl Progress {
-    /// One more part, a spare, whose shard begins at this cell.
-    pub fn push(&mut self, weight: f64, cell: u32) {
-        let part = Tracked { weight: units(weight), cell, state: PartState::Spare };
-        self.spare += part.weight;
+    /// Of no parts yet, where shards lie in so many cells.
+    pub fn new(cells: u32) -> Progress {
+        Progress { cells, ..Progress::default() }
+    }
+
+    /// The number of cells has changed.
+    pub fn set_cells(&mut self, cells: u32) {
+        self.cells = cells;
+        self.untried.clear();
+        for part in &self.parts {
+            if part.state == (PartState::Pending { untried: true }) {
+                *self.untried.entry(cell_of(part.shard, cells)).or_default() += 1;
+            }
+        }
+    }
+
+    /// One more part, a spare, that reads this shard.
+    pub fn push(&mut self, weight: f64, shard: u32) {
+        let part = Tracked { weight: units(weight), shard, state: PartState::Spare };
+        self.count(self.parts.len(), part);
         self.parts.push(part);
     }
 
@@ -104,12 +122,15 @@
 
     fn count(&mut self, place: usize, part: Tracked) {
         match part.state {
-            PartState::Spare => self.spare += part.weight,
+            PartState::Spare => {
+                self.spare += part.weight;
+                self.spare_count += 1;
+            }
             PartState::Answered => self.answered += part.weight,
             PartState::Pending { untried } => {
                 self.pending.insert(place);
                 if untried {
-                    *self.untried.entry(part.cell).or_default() += 1;
+                    *self.untried.entry(cell_of(part.shard, self.cells)).or_default() += 1;
                 }
             }
             PartState::InFlight(flight) => {
@@ -125,11 +146,16 @@
 
     fn discount(&mut self, place: usize, part: Tracked) {
         match part.state {
-            PartState::Spare => self.spare -= part.weight,
+            PartState::Spare => {
+                self.spare -= part.weight;
+                self.spare_count -= 1;
+            }
             PartState::Answered => self.answered -= part.weight,
             PartState::Pending { untried } => {
                 self.pending.remove(&place);
-                if let Some(count) = self.untried.get_mut(&part.cell).filter(|_| untried) {
+                if let Some(count) =
+                    self.untried.get_mut(&cell_of(part.shard, self.cells)).filter(|_| untried)
+                {
                     *count -= 1;
                 }
             }
@@ -159,6 +185,16 @@
         self.spare
     }
 
+    /// The place of the first spare.
+    pub fn first_spare(&self) -> Option<usize> {
+        let is_spare = |part: &Tracked| part.state == PartState::Spare;
+        if self.spare_count > 0 {
+            self.parts.iter().position(is_spare)
+        } else {
+            None
+        }
+    }
+
     /// Whether anything is in flight for a part without an answer.
     pub fn is_in_flight(&self) -> bool {
         self.in_flight_count > 0
@@ -175,6 +211,17 @@
         self.pending.iter().map(|place| (*place, self.parts[*place].weight))
     }
 
+    /// The place of the first wanted part with nothing in flight, from that place on.
+    pub fn next_pending(&self, from: usize) -> Option<usize> {
+        self.pending.range(from..).next().copied()
+    }
+
+    /// The next place from that one on that is pending, as things are now, or stands in an ordered list.
+    pub fn next_due(&self, late: &[usize], from: usize) -> Option<usize> {
+        let late = late.get(late.partition_point(|place| *place < from)).copied();
+        self.next_pending(from).into_iter().chain(late).min()
+    }
+
     /// How many wanted parts whose shards begin at one of these cells were never sent.
     pub fn untried(&self, cells: impl Iterator<Item = u32>) -> usize {
         cells.filter_map(|cell| self.untried.get(&cell)).sum()
@@ -198,6 +245,11 @@
     }
 }
 
+/// The cell at which a shard begins.
+fn cell_of(shard: u32, cells: u32) -> u32 {
+    shard.checked_rem(cells).unwrap_or(0)
+}
+
 impl InFlight {
     fn key(&self, place: usize) -> Single {
         (Group { ahead: self.ahead, ejected: self.ejected }, Moment(self.sent_at), place)
