--- a/crates/wharfhub-lab/src/experiments/data_path.rs
+++ b/crates/wharfhub-lab/src/experiments/data_path.rs
@@ -57,7 +57,8 @@
 const START_S: f64 = 1.0;
 /// Leaf servers that hold a partition, in virtual time; the last is 5,220 servers for 180 partitions. Length of such a day
 /// (seconds): the module's windows of 8 s have to fill.
-const HOLDERS: [u32; 3] = [2, 8, 29];
+const HOLDERS: [u32; 3] = [2, 8, PLANNED_HOLDERS];
+pub(super) const PLANNED_HOLDERS: u32 = 29;
 const VIRTUAL_S: f64 = 9.0;
 /// A slow server takes so many times as long: far over the latency target.
 const SLOW_FACTOR: f64 = 25.0;
@@ -327,7 +328,7 @@
 }
 
 /// A day in virtual time at the planned rate of one mixer: 180 partitions, each at so many leaf servers.
-fn day_with_holders(seed: u64, holders: u32) -> Day {
+pub(super) fn day_with_holders(seed: u64, holders: u32) -> Day {
     let plain = day(seed, CLOSED_LOOP);
     let parts = SIZES[SIZES.len() - 1].0;
     let class = Class { share: 1.0, ..plain.site.classes[SIZES.len() - 1].clone() };
--- a/crates/wharfhub-lab/src/experiments/mod.rs
+++ b/crates/wharfhub-lab/src/experiments/mod.rs
@@ -3,6 +3,7 @@
 mod data_path;
 mod decisions;
 mod deployments;
+mod tail;
 mod two_phase;
 
 use crate::report::ReportError;
@@ -55,7 +56,7 @@
 }
 
 /// All of them.
-pub const ALL: [Experiment; 4] = [
+pub const ALL: [Experiment; 5] = [
     Experiment {
         name: "data-path",
         what: "the daemon's CPU for a query, by the number of its parts",
@@ -71,6 +72,11 @@
         what: "both kinds of deployment on quiet days and with each of their troubles",
         run: deployments::run,
     },
+    Experiment {
+        name: "tail",
+        what: "180 answers with slow leaf servers: queries in time, and what second copies cost",
+        run: tail::run,
+    },
     Experiment {
         name: "two-phase",
         what: "work saved and service kept with queries in two phases, on and off side by side",
