--- a/crates/wharfhub-lab/src/experiments/mod.rs
+++ b/crates/wharfhub-lab/src/experiments/mod.rs
@@ -4,6 +4,7 @@
 mod decisions;
 mod deployments;
 mod scale;
+mod tail;
 mod two_phase;
 
 use crate::report::ReportError;
@@ -61,7 +62,7 @@
 }
 
 /// All of them.
-pub const ALL: [Experiment; 5] = [
+pub const ALL: [Experiment; 6] = [
     Experiment {
         name: "data-path",
         what: "the daemon's CPU for a query, by the number of its parts",
@@ -82,6 +83,11 @@
         what: "memory, CPU, messages and time for a change by mixers, servers and changes a second",
         run: scale::run,
     },
+    Experiment {
+        name: "tail",
+        what: "180 answers with slow leaf servers: queries in time, and what second copies cost",
+        run: tail::run,
+    },
     Experiment {
         name: "two-phase",
         what: "work saved and service kept with queries in two phases, on and off side by side",
