--- a/crates/wharfhub-lab/src/experiments/scale.rs
+++ b/crates/wharfhub-lab/src/experiments/scale.rs
@@ -17,6 +17,8 @@
 const MAX_PREDICTION_ERROR: f64 = 0.25;
 /// Host processes of a fleet.
 const PROCESSES: u32 = 8;
+/// The name of the axis over changes a second.
+const RATE_AXIS: &str = "changes/s";
 /// Real daemons with queries beside the hollow mixers, and their leaf servers.
 const QUERY_MIXERS: u32 = 2;
 const QUERY_LEAVES: u32 = 10;
@@ -37,9 +39,9 @@
     events: (u32, u32),
     day: CompressedDay,
     changes: u32,
-    in_step: bool,
     idle_s: f64,
     rate_s: f64,
+    rates_in_step: bool, // where a busy machine must not let changes be told together
     ask_within_s: f64,
 }
 
@@ -54,9 +56,9 @@
             events: FULL_SIZE,
             day: CompressedDay { changes: 150, per_s: 10.0 },
             changes: 12,
-            in_step: false,
             idle_s: 3.0,
             rate_s: 4.0,
+            rates_in_step: false,
             ask_within_s: 8.0,
         }
     }
@@ -71,24 +73,32 @@
             events: (40, 200),
             day: CompressedDay { changes: 40, per_s: 20.0 },
             changes: 4,
-            in_step: true,
             idle_s: 0.2,
             rate_s: 1.0,
+            rates_in_step: true,
             ask_within_s: 1.0,
         }
     }
 
+    /// A load at the size to plan with, on one machine: first calls are spread as in service, for the machine takes so
+    /// many whole lists no sooner; and targets are longer, for the idle work of so many mixers would fill five of its
+    /// eight cores.
+    fn full_size_load(&self, mixers: u32, servers: u32) -> Load {
+        Load { ask_within_s: 30.0, target_factor: 10.0, ..self.load(mixers, servers) }
+    }
+
     fn load(&self, mixers: u32, servers: u32) -> Load {
         Load {
             mixers,
             servers,
             changes_per_s: 4.0,
             changes: self.changes,
-            in_step: self.in_step,
+            in_step: true,
             idle_s: self.idle_s,
             // Half of a fleet's idle work is its rounds; at the shortest round 860 mixers would fill eight cores.
             round_s: 0.05,
             ask_within_s: self.ask_within_s,
+            target_factor: 1.0,
         }
     }
 }
@@ -131,6 +141,10 @@
     2.0 * point.change.change_answers as f64
 }
 
+fn whole_list_bytes(point: &Point) -> f64 {
+    point.start.bytes_out as f64 / point.start.whole_lists.max(1) as f64
+}
+
 fn change_bytes(point: &Point) -> f64 {
     let call_bytes = point.change.bytes_in as f64 / point.change.calls.max(1) as f64;
     point.change.change_bytes as f64 + point.change.change_answers as f64 * call_bytes
@@ -152,15 +166,14 @@
     timed("mixers", "CPU for a change, each (ms)", |point| point.change_cpu_s / mixers(point) * 1e3),
     timed("mixers", "CPU to take the list, each (ms)", |point| point.start_cpu_s / mixers(point) * 1e3),
     timed("mixers", "idle CPU, each (% of a core)", |point| point.idle_cores / mixers(point) * 100.0),
-    counted("discovery", "bytes of the whole list (kB)", |point| {
-        point.start.bytes_out as f64 / point.start.whole_lists.max(1) as f64 / 1e3
-    }),
+    counted("discovery", "bytes of the whole list (kB)", |point| whole_list_bytes(point) / 1e3),
     timed("fleet", "change in force, median (ms)", |point| point.propagation.median_s * 1e3),
 ];
 
 const BY_RATE: [Quantity; 4] = [
     timed("mixers", "CPU for changes, each (% of a core)", |point| {
-        point.change_cpu_s * point.load.changes_per_s / mixers(point) * 100.0
+        let answers_per_s = point.change.change_answers as f64 / mixers(point) / changing_s(point);
+        point.change_cpu_s * answers_per_s / mixers(point) * 100.0
     }),
     counted("mixers", "messages a second, each", |point| {
         change_messages(point) / changing_s(point) / mixers(point)
@@ -198,7 +211,9 @@
     let mut bench = Bench::start(&load, std::env::current_exe()?, PROCESSES, options.seed)?;
     let at = |changes_per_s: f64| {
         let changes = (changes_per_s * plan.rate_s).ceil() as u32;
-        bench.measure(&Load { changes_per_s, changes, ..load }).map_err(Failure::from)
+        bench
+            .measure(&Load { changes_per_s, changes, in_step: plan.rates_in_step, ..load })
+            .map_err(Failure::from)
     };
     plan.rates.into_iter().map(at).collect()
 }
@@ -217,7 +232,7 @@
             points: all(by_servers)?,
         },
         Axis {
-            name: "changes/s",
+            name: RATE_AXIS,
             x: |point| point.load.changes_per_s,
             quantities: &BY_RATE,
             points: by_rate(options, plan)?,
@@ -237,7 +252,7 @@
         "idle messages/s each",
         "list kB",
         "CPU ms for the list each",
-        "CPU ms a change each",
+        "CPU ms an answer each",
         "messages a change",
         "bytes a change",
         "discovery CPU ms a change",
@@ -251,6 +266,8 @@
     let full = full.map(|point| ("full size", point));
     let all = axes.iter().flat_map(|axis| axis.points.iter().map(|point| (axis.name, point)));
     for (name, point) in all.chain(full) {
+        // A fleet that goes on from one rate to the next has started once.
+        let started = |text: String| if name == RATE_AXIS { "-".into() } else { text };
         let each = |value: f64| value / mixers(point);
         let (idle, idle_s) = point.idle;
         let Point { load, propagation, .. } = point;
@@ -263,13 +280,13 @@
             format!("{:.3}", each(point.idle_cores) * 100.0),
             format!("{:.1}", each(idle.bytes() as f64) / idle_s),
             format!("{:.3}", each(idle.messages() as f64) / idle_s),
-            format!("{:.1}", point.start.bytes_out as f64 / point.start.whole_lists.max(1) as f64 / 1e3),
-            format!("{:.2}", each(point.start_cpu_s) * 1e3),
+            started(format!("{:.1}", whole_list_bytes(point) / 1e3)),
+            started(format!("{:.2}", each(point.start_cpu_s) * 1e3)),
             format!("{:.3}", each(point.change_cpu_s) * 1e3),
             format!("{:.1}", change_messages(point) / changes(point)),
             format!("{:.0}", change_bytes(point) / changes(point)),
             format!("{:.2}", point.discovery_change_cpu_s * 1e3),
-            format!("{:.2}", point.start_s),
+            started(format!("{:.2}", point.start_s)),
             format!("{:.4}", propagation.median_s),
             format!("{:.4}", propagation.p99_s),
             format!("{:.4}", propagation.last_s),
@@ -375,7 +392,6 @@
 fn slopes(options: &Options, plan: &Plan) -> Result<Vec<String>, Failure> {
     let axes = axes(options, plan)?;
     let full = match plan.full {
-        // First calls are spread as in service: the machine takes all these whole lists no sooner.
         Some((mixers, servers)) => {
             let load =
                 Load { changes_per_s: 0.5, changes: 4, ask_within_s: 30.0, ..plan.load(mixers, servers) };
@@ -429,8 +445,10 @@
 
 fn events(options: &Options, plan: &Plan) -> Result<Vec<String>, Failure> {
     let (mixers, servers) = plan.events;
-    let ask_within_s = if options.quick { plan.ask_within_s } else { 30.0 };
-    let load = Load { ask_within_s, ..plan.load(mixers, servers) };
+    let load = match plan.full {
+        Some(_) => plan.full_size_load(mixers, servers),
+        None => plan.load(mixers, servers),
+    };
     let mut bench = EventBench::start(&load, std::env::current_exe()?, options.seed)?;
     let (day, queries) = ordinary_day_with_queries(&mut bench, plan, options.seed)?;
     let mut outcomes: Vec<EventOutcome> = vec![day];
--- a/crates/wharfhub-lab/src/fleet/bench.rs
+++ b/crates/wharfhub-lab/src/fleet/bench.rs
@@ -2,6 +2,7 @@
 //!
 //! This file owns what is measured and how long; it must never judge a figure.
 
+use super::discovery::unix_us;
 use super::processes::merged;
 use super::propagation::Propagation;
 use super::{
@@ -39,6 +40,8 @@
     pub round_s: f64,
     /// The settings' longest time without asking (seconds).
     pub ask_within_s: f64,
+    /// How many times longer latency targets are than in the deployment.
+    pub target_factor: f64,
 }
 
 /// What was measured at one size. Figures of mixers are those of all together.
@@ -58,7 +61,8 @@
     pub idle_cores: f64,
     /// What discovery counted meanwhile, and for how long (seconds).
     pub idle: (Counters, f64),
-    /// Processor time of all mixers for one change, without what passes idle (seconds).
+    /// Processor time of all mixers for one answer with changes at each, without what passes idle (seconds). Where
+    /// changes come faster than mixers take them, one answer brings several.
     pub change_cpu_s: f64,
     /// Processor time of discovery for one change (seconds).
     pub discovery_change_cpu_s: f64,
@@ -83,6 +87,7 @@
         cells: load.servers,
         round_s: load.round_s,
         ask_within_s: load.ask_within_s,
+        target_factor: load.target_factor,
     }
 }
 
@@ -90,11 +95,7 @@
 pub fn stepped(server: &ListedServer) -> ListedServer {
     match server.phase {
         Phase::Ready => ListedServer { phase: Phase::Terminating, ..server.clone() },
-        _ => ListedServer {
-            phase: Phase::Ready,
-            started_ms: super::discovery::unix_us() / 1000,
-            ..server.clone()
-        },
+        _ => ListedServer { phase: Phase::Ready, started_ms: unix_us() / 1000, ..server.clone() },
     }
 }
 
@@ -152,9 +153,10 @@
     pub fn measure(&mut self, load: &Load) -> Result<Point, FleetError> {
         let nothing = Counters::default();
         let revision = self.discovery.catalog().revision();
-        self.fleet.await_revisions(&[revision], MAX_START_S)?;
+        let first_lists = self.fleet.await_revisions(&[revision], MAX_START_S)?;
         let (start_s, start) = (self.started.elapsed().as_secs_f64(), self.discovery.counters());
-        let started = self.fleet.report()?;
+        let started = merged(first_lists, self.fleet.report()?);
+        let listed_s = seconds_since_first_lists(&started);
 
         let begin = Instant::now();
         std::thread::sleep(Duration::from_secs_f64(load.idle_s));
@@ -169,16 +171,17 @@
         let change_s = begin.elapsed().as_secs_f64();
         let change = self.discovery.counters().since(&before);
         let count = f64::from(load.changes.max(1));
+        let answers = change.change_answers as f64 / f64::from(load.mixers.max(1));
         let mixers: Vec<&MixerReport> = changed.mixers.iter().collect();
         Ok(Point {
             load: *load,
             start_s,
-            start_cpu_s: started.cpu_s() - idle_cores * start_s,
+            start_cpu_s: started.cpu_s() - idle_cores * listed_s,
             start: start.since(&nothing),
             memory_bytes: changed.resident_bytes as f64,
             idle_cores,
             idle: (idle, idle_s),
-            change_cpu_s: (changed.cpu_s() - idled.cpu_s() - idle_cores * change_s) / count,
+            change_cpu_s: (changed.cpu_s() - idled.cpu_s() - idle_cores * change_s) / answers.max(1.0),
             discovery_change_cpu_s: (self.discovery.cpu_s() - discovery_cpu_s) / count,
             change,
             change_s,
@@ -186,3 +189,11 @@
         })
     }
 }
+
+/// How long ago mixers had their first list in force, on average (seconds).
+fn seconds_since_first_lists(report: &FleetReport) -> f64 {
+    let now_us = unix_us();
+    let since_us =
+        |mixer: &MixerReport| mixer.in_force.first().map_or(0, |first| now_us.saturating_sub(first.at_us));
+    report.mixers.iter().map(since_us).sum::<u64>() as f64 / 1e6 / report.mixers.len().max(1) as f64
+}
--- a/crates/wharfhub-lab/src/fleet/events.rs
+++ b/crates/wharfhub-lab/src/fleet/events.rs
@@ -93,6 +93,7 @@
             cells: FIRST_CELL + load.servers,
             round_s: load.round_s,
             ask_within_s: load.ask_within_s,
+            target_factor: load.target_factor,
         };
         let discovery = regions.addresses();
         let (mixers, processes) = (load.mixers, ZONES);
--- a/crates/wharfhub-lab/src/fleet/setup.rs
+++ b/crates/wharfhub-lab/src/fleet/setup.rs
@@ -2,7 +2,7 @@
 //!
 //! This file owns the bounds that guard the machine. It must never start anything.
 
-use crate::site::Day;
+use crate::site::{cardiff, Day};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use thiserror::Error;
@@ -81,12 +81,16 @@
     pub round_s: f64,
     /// The longest time without asking (seconds).
     pub ask_within_s: f64,
+    /// How many times longer latency targets are than in the deployment. What a mixer does while nothing is asked
+    /// grows with the servers and shrinks with the targets.
+    pub target_factor: f64,
 }
 
 impl MixerSettings {
     /// As JSON that the daemon's decoder reads: the laboratory's deployment, with lists that have to be asked for.
     pub fn text(&self) -> String {
-        let day = Day { mixers: self.replicas, boxes: self.cells, ..Day::default() };
+        let site = cardiff().swifter("fleet", 1.0 / self.target_factor);
+        let day = Day { mixers: self.replicas, boxes: self.cells, site, ..Day::default() };
         let control = format!("\"discovery\":\"subscribe\",\"roundS\":{}", self.round_s);
         let rules = format!("\"rules\":{{\"askWithinS\":{},", self.ask_within_s);
         let settings = day.settings().replacen("\"roundS\":0.005", &control, 1);
@@ -121,6 +125,7 @@
         check("settings.replicas", f64::from(self.settings.replicas), 1.0, 1e6)?;
         check("settings.cells", f64::from(self.settings.cells), 1.0, f64::from(MAX_SERVERS))?;
         check("settings.round_s", self.settings.round_s, 1e-4, 10.0)?;
+        check("settings.target_factor", self.settings.target_factor, 0.01, 1_000.0)?;
         check("settings.ask_within_s", self.settings.ask_within_s, 1e-3, 86_400.0)
     }
 }
--- a/crates/wharfhub-lab/tests/fleet.rs
+++ b/crates/wharfhub-lab/tests/fleet.rs
@@ -30,7 +30,7 @@
 }
 
 fn settings(replicas: u32, cells: u32) -> MixerSettings {
-    MixerSettings { replicas, cells, round_s: 0.01, ask_within_s: 0.2 }
+    MixerSettings { replicas, cells, round_s: 0.01, ask_within_s: 0.2, target_factor: 1.0 }
 }
 
 fn mixer(number: u32, discovery: SocketAddr, cells: u32) -> HollowMixer {
@@ -245,6 +245,7 @@
 #[case::no_discovery("discovery", |setup: &mut FleetSetup| setup.discovery.clear())]
 #[case::no_round("settings.round_s", |setup: &mut FleetSetup| setup.settings.round_s = f64::NAN)]
 #[case::no_time("settings.ask_within_s", |setup: &mut FleetSetup| setup.settings.ask_within_s = 0.0)]
+#[case::no_targets("settings.target_factor", |setup: &mut FleetSetup| setup.settings.target_factor = -1.0)]
 #[case::no_cell("settings.cells", |setup: &mut FleetSetup| setup.settings.cells = 0)]
 fn bad_limits_are_named(#[case] key: &str, #[case] spoil: fn(&mut FleetSetup)) {
     let discovery = discovery(1, Behavior::default());
@@ -370,6 +371,7 @@
         idle_s: 0.01,
         round_s: 0.01,
         ask_within_s: 0.2,
+        target_factor: 1.0,
     };
     let program = env!("CARGO_BIN_EXE_wharfhub-lab").into();
     let mut bench = wharfhub_lab::fleet::bench::Bench::start(&load, program, 2, 1).unwrap();
