--- a/crates/wharfhub-lab/src/fleet/bench.rs
+++ b/crates/wharfhub-lab/src/fleet/bench.rs
@@ -5,6 +5,7 @@
 use super::discovery::unix_us;
 use super::processes::merged;
 use super::propagation::Propagation;
+use super::setup::MAX_MEMORY_BYTES;
 use super::{
     Behavior, Catalog, Counters, Discovery, Fleet, FleetError, FleetReport, FleetSetup, ListedServer,
     MixerReport, MixerSettings, Phase, Published,
@@ -118,6 +119,7 @@
             processes: processes.min(load.mixers),
             discovery: discovery.addresses.clone(),
             settings: settings(load),
+            max_memory_bytes: MAX_MEMORY_BYTES,
             seed,
             program,
         };
--- a/crates/wharfhub-lab/src/fleet/processes.rs
+++ b/crates/wharfhub-lab/src/fleet/processes.rs
@@ -151,6 +151,10 @@
             all.mixers.extend(report.mixers);
         }
         all.mixers.sort_by_key(|mixer| mixer.number);
+        let (held, most) = (all.resident_bytes, self.setup.max_memory_bytes);
+        if held > most {
+            return Err(FleetError::TooMuchMemory { held, most });
+        }
         let ended = all.mixers.iter().find_map(|mixer| Some((mixer.number, mixer.failure.clone()?)));
         match ended {
             Some((number, why)) => Err(FleetError::MixerEnded { number, why }),
--- a/crates/wharfhub-lab/src/fleet/setup.rs
+++ b/crates/wharfhub-lab/src/fleet/setup.rs
@@ -14,6 +14,8 @@
 pub const MAX_PROCESSES: u32 = 200;
 /// Most listed servers.
 pub const MAX_SERVERS: u32 = 20_000;
+/// Most memory of a fleet: under half of a machine of 24 GB (bytes).
+pub const MAX_MEMORY_BYTES: u64 = 11 << 30;
 
 /// Why there is no fleet.
 #[derive(Debug, Error)]
@@ -38,6 +40,14 @@
         /// Why.
         why: String,
     },
+    /// Its processes hold more memory than they may.
+    #[error("max_memory_bytes: the fleet holds {held} bytes, over {most}")]
+    TooMuchMemory {
+        /// What they hold.
+        held: u64,
+        /// What they may hold.
+        most: u64,
+    },
     /// A mixer ended by itself.
     #[error("mixer {number} ended: {why}")]
     MixerEnded {
@@ -109,6 +119,8 @@
     pub discovery: Vec<SocketAddr>,
     /// The settings.
     pub settings: MixerSettings,
+    /// Memory that all processes together may hold (bytes); with more the fleet ends.
+    pub max_memory_bytes: u64,
     /// For all draws.
     pub seed: u64,
     /// The program whose `host` sub-command runs mixers.
@@ -122,6 +134,7 @@
         let most = f64::from(MAX_PROCESSES.min(self.mixers));
         check("processes", f64::from(self.processes), 1.0, most)?;
         check("discovery", self.discovery.len() as f64, 1.0, f64::from(self.processes))?;
+        check("max_memory_bytes", self.max_memory_bytes as f64, 1e6, MAX_MEMORY_BYTES as f64)?;
         check("settings.replicas", f64::from(self.settings.replicas), 1.0, 1e6)?;
         check("settings.cells", f64::from(self.settings.cells), 1.0, f64::from(MAX_SERVERS))?;
         check("settings.round_s", self.settings.round_s, 1e-4, 10.0)?;
--- a/crates/wharfhub-lab/tests/fleet.rs
+++ b/crates/wharfhub-lab/tests/fleet.rs
@@ -205,6 +205,7 @@
         processes,
         discovery: discovery.addresses.clone(),
         settings: settings(mixers, 300),
+        max_memory_bytes: 1 << 30,
         seed: 3,
         program: env!("CARGO_BIN_EXE_wharfhub-lab").into(),
     }
@@ -227,6 +228,14 @@
     assert!(report.resident_bytes > 0 && report.cpu_s() > 0.0);
 }
 
+#[test]
+fn a_fleet_that_holds_too_much_memory_is_an_error() {
+    let discovery = discovery(10, Behavior::default());
+    let setup = FleetSetup { max_memory_bytes: 1_000_000, ..fleet(&discovery, 2, 1) };
+    let error = Fleet::start(setup).unwrap().report().unwrap_err();
+    assert!(matches!(error, FleetError::TooMuchMemory { most: 1_000_000, .. }), "{error}");
+}
+
 #[test]
 fn a_version_that_never_comes_is_an_error() {
     let discovery = discovery(10, Behavior::default());
@@ -243,6 +252,7 @@
 #[case::too_many_processes("processes", |setup: &mut FleetSetup| setup.processes = 201)]
 #[case::more_processes_than_mixers("processes", |setup: &mut FleetSetup| setup.processes = 5)]
 #[case::no_discovery("discovery", |setup: &mut FleetSetup| setup.discovery.clear())]
+#[case::too_much_memory("max_memory_bytes", |setup: &mut FleetSetup| setup.max_memory_bytes = u64::MAX)]
 #[case::no_round("settings.round_s", |setup: &mut FleetSetup| setup.settings.round_s = f64::NAN)]
 #[case::no_time("settings.ask_within_s", |setup: &mut FleetSetup| setup.settings.ask_within_s = 0.0)]
 #[case::no_targets("settings.target_factor", |setup: &mut FleetSetup| setup.settings.target_factor = -1.0)]
