Count the time of a late change from when it could be told

The time was taken after the change was queued and could lie behind its first answer by some microseconds; now before.

--- a/crates/wharfhub-lab/src/experiments/scale.rs
+++ b/crates/wharfhub-lab/src/experiments/scale.rs
@@ -93,7 +93,7 @@
             changes: self.changes,
             in_step: true,
             idle_s: self.idle_s,
-            // Half of a fleet's idle work is its rounds; at the shortest round 860 mixers would fill eight cores.
+            // Ten times those of service: hundreds of mixers share eight cores here.
             round_s: 0.05,
             ask_within_s: self.ask_within_s,
             target_factor: 1.0,
--- a/crates/wharfhub-lab/src/fleet/discovery.rs
+++ b/crates/wharfhub-lab/src/fleet/discovery.rs
@@ -228,14 +228,14 @@
 
     /// Makes changes known as one version.
     pub fn publish(&self, changes: Vec<ListedServer>) -> Published {
+        let now_us = unix_us();
         let mut shared = lock(&self.shared);
         let lag = Duration::from_secs_f64(shared.behavior.lag_s.max(0.0));
         shared.pending.push_back((Instant::now() + lag, changes));
         let revision = shared.catalog.revision() + shared.pending.len() as u64;
         drop(shared);
-        let at_us = unix_us() + lag.as_micros() as u64;
         let _ = self.waker.wake();
-        Published { revision, at_us }
+        Published { revision, at_us: now_us + lag.as_micros() as u64 }
     }
 
     /// Behaves in that way from now on.
--- a/crates/wharfhub-lab/tests/fleet.rs
+++ b/crates/wharfhub-lab/tests/fleet.rs
@@ -172,6 +172,18 @@
     assert_eq!(regions.counters().whole_lists, 2);
 }
 
+/// A change that is told late is in force no sooner; the time until then counts from when it could be told.
+#[test]
+fn a_late_change_is_in_force_no_sooner_than_it_is_told() {
+    let discovery = discovery(10, Behavior { lag_s: 0.3, ..Behavior::default() });
+    let mut mixer = mixer(0, discovery.addresses[0], 10);
+    wait_for_revision(&mut mixer, 1);
+    let changed = discovery.publish(vec![stepped(&servers(1)[0])]);
+    let report = wait_for_revision(&mut mixer, changed.revision);
+    assert!(report.in_force.iter().all(|record| record.at_us >= changed.at_us), "{changed:?} {report:?}");
+    assert_eq!(Propagation::of(&[changed], &[&report]).missing, 0);
+}
+
 fn watch(address: SocketAddr, query: &str) -> TcpStream {
     let mut stream = TcpStream::connect(address).unwrap();
     stream.set_read_timeout(Some(MAX_WAIT)).unwrap();
