--- a/crates/wharfhub-lab/src/experiments/scale.rs
+++ b/crates/wharfhub-lab/src/experiments/scale.rs
@@ -495,8 +495,8 @@
             let (lists, needed) = (counters.whole_lists, outcome.whole_lists_needed);
             short.push(format!("{name}: {lists} whole lists where {needed} were needed"));
         }
-        let is_restart = counters.whole_lists > u64::from(QUERY_MIXERS);
-        if !is_restart && !options.quick && propagation.last_s > MAX_IN_FORCE_S {
+        // A mixer that starts anew waits for its turn to ask, by the settings.
+        if outcome.mixers_started == 0 && !options.quick && propagation.last_s > MAX_IN_FORCE_S {
             short.push(format!("{name}: in force after {:.1} s", propagation.last_s));
         }
     }
--- a/crates/wharfhub-lab/src/fleet/events.rs
+++ b/crates/wharfhub-lab/src/fleet/events.rs
@@ -45,7 +45,9 @@
     pub counters: Counters,
     /// Mixers that ran at its end.
     pub mixers: usize,
-    /// Whole lists that it needs at most: one for each mixer that started anew.
+    /// Mixers that started anew.
+    pub mixers_started: u64,
+    /// Whole lists that it needs at most: one for each mixer that started anew, and for each daemon beside the fleet.
     pub whole_lists_needed: u64,
 }
 
@@ -143,7 +145,7 @@
     fn play(
         &mut self,
         name: &'static str,
-        whole_lists_needed: u64,
+        mixers_started: u64,
         event: impl FnOnce(&mut EventBench) -> Result<(), FleetError>,
     ) -> Result<EventOutcome, FleetError> {
         let mut report = self.fleet.report()?;
@@ -160,7 +162,8 @@
             propagation: self.propagation(&report),
             counters: self.regions.counters().since(&before),
             mixers: self.fleet.running(),
-            whole_lists_needed,
+            mixers_started,
+            whole_lists_needed: mixers_started,
         })
     }
 
@@ -187,7 +190,7 @@
     /// An ordinary day's changes, compressed: one server each, spread over all. Beside the fleet so many daemons may ask
     /// for their first list.
     pub fn ordinary_day(&mut self, day: CompressedDay, daemons: u64) -> Result<EventOutcome, FleetError> {
-        self.play("ordinary day", daemons, |bench| {
+        let outcome = self.play("ordinary day", 0, |bench| {
             let (begin, gap) = (Instant::now(), Duration::from_secs_f64(1.0 / day.per_s));
             for number in 0..day.changes {
                 let at = begin + gap * number as u32;
@@ -196,7 +199,8 @@
                 bench.change(&[place], stepped);
             }
             Ok(())
-        })
+        })?;
+        Ok(EventOutcome { whole_lists_needed: daemons, ..outcome })
     }
 
     /// Lists leaf servers that mixers with queries use, in cells that no other server holds.
