--- a/crates/wharfhub-lab/src/fleet/setup.rs
+++ b/crates/wharfhub-lab/src/fleet/setup.rs
@@ -2,7 +2,7 @@
 //!
 //! This file owns the bounds that guard the machine. It must never start anything.
 
-use crate::site::Day;
+use crate::site::{cardiff, Day};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use thiserror::Error;
@@ -14,6 +14,8 @@
 pub const MAX_PROCESSES: u32 = 200;
 /// Most listed servers.
 pub const MAX_SERVERS: u32 = 20_000;
+/// Most memory of a fleet: under half of a machine of 24 GB (bytes).
+pub const MAX_MEMORY_BYTES: u64 = 11 << 30;
 
 /// Why there is no fleet.
 #[derive(Debug, Error)]
@@ -38,6 +40,14 @@
         /// Why.
         why: String,
     },
+    /// Its processes hold more memory than they may.
+    #[error("max_memory_bytes: the fleet holds {held} bytes, over {most}")]
+    TooMuchMemory {
+        /// What they hold.
+        held: u64,
+        /// What they may hold.
+        most: u64,
+    },
     /// A mixer ended by itself.
     #[error("mixer {number} ended: {why}")]
     MixerEnded {
@@ -81,12 +91,16 @@
     pub round_s: f64,
     /// The longest time without asking (seconds).
     pub ask_within_s: f64,
+    /// How many times longer latency targets are than in the deployment. What a mixer does while nothing is asked
+    /// grows with the servers and shrinks with the targets.
+    pub target_factor: f64,
 }
 
 impl MixerSettings {
     /// As JSON that the daemon's decoder reads: the laboratory's deployment, with lists that have to be asked for.
     pub fn text(&self) -> String {
-        let day = Day { mixers: self.replicas, boxes: self.cells, ..Day::default() };
+        let site = cardiff().swifter("fleet", 1.0 / self.target_factor);
+        let day = Day { mixers: self.replicas, boxes: self.cells, site, ..Day::default() };
         let control = format!("\"discovery\":\"subscribe\",\"roundS\":{}", self.round_s);
         let rules = format!("\"rules\":{{\"askWithinS\":{},", self.ask_within_s);
         let settings = day.settings().replacen("\"roundS\":0.005", &control, 1);
@@ -105,6 +119,8 @@
     pub discovery: Vec<SocketAddr>,
     /// The settings.
     pub settings: MixerSettings,
+    /// Memory that all processes together may hold (bytes); with more the fleet ends.
+    pub max_memory_bytes: u64,
     /// For all draws.
     pub seed: u64,
     /// The program whose `host` sub-command runs mixers.
@@ -118,9 +134,11 @@
         let most = f64::from(MAX_PROCESSES.min(self.mixers));
         check("processes", f64::from(self.processes), 1.0, most)?;
         check("discovery", self.discovery.len() as f64, 1.0, f64::from(self.processes))?;
+        check("max_memory_bytes", self.max_memory_bytes as f64, 1e6, MAX_MEMORY_BYTES as f64)?;
         check("settings.replicas", f64::from(self.settings.replicas), 1.0, 1e6)?;
         check("settings.cells", f64::from(self.settings.cells), 1.0, f64::from(MAX_SERVERS))?;
         check("settings.round_s", self.settings.round_s, 1e-4, 10.0)?;
+        check("settings.target_factor", self.settings.target_factor, 0.01, 1_000.0)?;
         check("settings.ask_within_s", self.settings.ask_within_s, 1e-3, 86_400.0)
     }
 }
