--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -5,7 +5,7 @@
 //! which a request may have come without reading it once more.
 
 use super::http::{self, HttpError, Message, Reader, Start};
-use super::{opensearch, platform, Conn, ConnKey, Due, Mixer, ACCEPT_AGAIN_S};
+use super::{opensearch, platform, Conn, ConnKey, Deadline, Mixer, ACCEPT_AGAIN_S};
 use crate::core::{Asked, Final, RequestKey, Style};
 use crate::store::MAX_VALUE_BYTES;
 use mio::net::TcpStream;
@@ -69,7 +69,7 @@
     pub(super) thrown_away: usize,
     pub(super) since: f64,      // when its state began
     pub(super) first_by: f64,   // when its first request has to be there; no limit after that
-    pub(super) watched_to: f64, // the deadline that is in the agenda for it; 0 where there is none
+    pub(super) watched_to: f64, // the deadline that is in the timer queue for it; 0 where there is none
 }
 
 impl Client {
@@ -116,7 +116,7 @@
                         // Out of descriptors or memory: the queue stays, and nothing tells us of it again.
                         self.log(&format!("accept: {error}"));
                         let _ = self.evict();
-                        self.agenda.add(self.now + ACCEPT_AGAIN_S, Due::Accept);
+                        self.timers.add(self.now + ACCEPT_AGAIN_S, Deadline::Accept);
                         return;
                     }
                 },
@@ -184,14 +184,14 @@
         }
     }
 
-    /// Puts the client's limit into the agenda, unless an earlier deadline there leads to it.
+    /// Puts the client's limit into the timer queue, unless an earlier deadline there leads to it.
     pub(super) fn watch_client(&mut self, key: ConnKey) {
         let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
         let limit = client.limit();
         let watched = client.watched_to > self.now && client.watched_to <= limit;
         if limit < f64::MAX && !watched {
             client.watched_to = limit;
-            self.agenda.add(limit, Due::Conn(key));
+            self.timers.add(limit, Deadline::Conn(key));
         }
     }
 
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -4,7 +4,7 @@
 //! It must never let a caller who says nothing stand before one who does, never take a descriptor that clients
 //! may use, and never count: every figure is told by whoever settles what it counts.
 
-use super::{http, token, Conn, ConnKey, Due, Mixer, NetError, Phase, ADMIN, STYLES};
+use super::{http, token, Conn, ConnKey, Deadline, Mixer, NetError, Phase, ADMIN, STYLES};
 use crate::core::{Figures, Style};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry};
@@ -140,7 +140,7 @@
                     let caller = Caller { stream, line, out: None, thrown_away: 0, heard_at: self.now, due };
                     let key = self.conns.insert(Conn::Caller(Box::new(caller)));
                     self.register(key);
-                    self.agenda.add(due, Due::Conn(key));
+                    self.timers.add(due, Deadline::Conn(key));
                     self.caller_event(key);
                 }
                 Err(error) => match error.kind() {
@@ -150,12 +150,12 @@
                         // Fewer descriptors than we were told: a client goes, and the queue is tried again.
                         self.log(&format!("door: accept: {error}"));
                         let _ = self.evict();
-                        return self.agenda.add(self.now + super::ACCEPT_AGAIN_S, Due::Door);
+                        return self.timers.add(self.now + super::ACCEPT_AGAIN_S, Deadline::AdminAccept);
                     }
                 },
             }
         }
-        self.agenda.add(self.now + NEXT_TURN_S, Due::Door);
+        self.timers.add(self.now + NEXT_TURN_S, Deadline::AdminAccept);
     }
 
     /// Guards the next caller against those who connect and say nothing: who has been silent for the longest goes,
@@ -187,7 +187,7 @@
                 let Some(Conn::Caller(caller)) = self.conns.get_mut(key) else { return };
                 caller.out = Some(reply.into_bytes());
                 caller.due = self.now + READ_S;
-                self.agenda.add(self.now + READ_S, Due::Conn(key));
+                self.timers.add(self.now + READ_S, Deadline::Conn(key));
                 // What it said after its line must be read too, or closing would destroy the reply.
                 let told = caller.tell();
                 if told.is_err() || caller.hear(self.now).is_err() {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -9,7 +9,7 @@
 //! connection becomes the watch and the old one is closed.
 
 use super::http::{HttpError, Message, Reader, Start};
-use super::{came_up, Conn, ConnKey, Due, Mixer, Phase};
+use super::{came_up, Conn, ConnKey, Deadline, Mixer, Phase};
 use crate::api::{Outcome, ReplicaEntry, Settings};
 use crate::choices::backoff::Backoff;
 use crate::choices::heartbeat::{Fleet, Heartbeat};
@@ -295,7 +295,7 @@
     /// Opens the watch, or goes on with it, unless a call of it is out.
     pub(super) fn ask(&mut self) {
         if let Some(until) = self.link.oversize.blocked_until(self.now) {
-            return self.agenda.add(until, Due::Ask);
+            return self.timers.add(until, Deadline::Ask);
         }
         if self.link.reopen_at.is_some_and(|at| self.now + TIMER_STEP_S < at) {
             return;
@@ -328,7 +328,7 @@
         let times = self.link.heartbeat.watch_times(self.rng.rand_float());
         self.make_call(key, Call::Watch { since, wait_s: times.wait_s }, times.timeout_s);
         let next_at = self.link.heartbeat.start(self.now);
-        self.agenda.add(next_at, Due::Heartbeat);
+        self.timers.add(next_at, Deadline::Heartbeat);
     }
 
     /// A new connection to discovery.
@@ -359,7 +359,7 @@
         conn.open_call = Some(OpenCall { call, known: self.revision, made_at: self.now, timeout_s });
         // Guards against a machine that is not there: a watch's patience is for one that is.
         conn.due = self.now + if conn.up { timeout_s } else { timeout_s.min(UP_WITHIN_S) };
-        self.agenda.add(conn.due, Due::Conn(key));
+        self.timers.add(conn.due, Deadline::Conn(key));
         if let Err(error) = conn.flush() {
             self.end_discovery(key, &error.into());
         }
@@ -372,13 +372,13 @@
         }
         if self.call_on(self.link.heartbeat_conn).is_some() {
             let next_at = self.link.heartbeat.start(self.now);
-            return self.agenda.add(next_at, Due::Heartbeat);
+            return self.timers.add(next_at, Deadline::Heartbeat);
         }
         let since = self.revision.filter(|_| self.is_watch_open() || self.link.reopen_at.is_some());
         let Some(since) = since else { return self.link.heartbeat.stop() };
         if let Some(until) = self.link.oversize.blocked_until(self.now) {
             let next_at = self.link.heartbeat.start(until);
-            return self.agenda.add(next_at, Due::Heartbeat);
+            return self.timers.add(next_at, Deadline::Heartbeat);
         }
         let Some(key) = self.link.heartbeat_conn.or_else(|| self.open_discovery(Role::Heartbeat)) else {
             return;
@@ -407,7 +407,7 @@
             Err(error) => return self.end_discovery(key, &error.into()),
         }
         if !was_up && conn.due < f64::MAX {
-            self.agenda.add(conn.due, Due::Conn(key));
+            self.timers.add(conn.due, Deadline::Conn(key));
         }
         match conn.receive() {
             Received::Nothing => {}
@@ -476,7 +476,7 @@
         // A whole list that came is no proof that calls for changes are answered at once.
         if matches!(open.call, Call::Changes { .. }) {
             let next_at = self.link.heartbeat.answered(self.now);
-            self.agenda.add(next_at, Due::Heartbeat);
+            self.timers.add(next_at, Deadline::Heartbeat);
         }
         self.ask_predecessor();
         if std::mem::take(&mut self.going_over) {
@@ -486,9 +486,9 @@
         // watch goes on all the same: the next call is due within 200 ms.
         let did_not_wait = open.call.waits() && self.now < open.made_at + SOON_S && !news;
         if self.revision.is_none() {
-            self.agenda.add(self.now + ASK_AGAIN_S, Due::Ask);
+            self.timers.add(self.now + ASK_AGAIN_S, Deadline::Ask);
         } else if did_not_wait {
-            self.agenda.add(self.now + SOON_S, Due::Ask);
+            self.timers.add(self.now + SOON_S, Deadline::Ask);
         } else if !open.call.waits() && self.put_watch_off() {
             // The heartbeats go on without it.
         } else if self.link.watch == Some(key) {
@@ -501,7 +501,7 @@
     /// What a heartbeat brings, or finds with no watch open, makes its connection the watch.
     fn heartbeat_answered(&mut self, key: ConnKey, news: bool) {
         let next_at = self.link.heartbeat.answered(self.now);
-        self.agenda.add(next_at, Due::Heartbeat);
+        self.timers.add(next_at, Deadline::Heartbeat);
         let is_watched = self.is_watch_open();
         if self.link.reopen_at.is_some() || (is_watched && !news) {
             return;
@@ -527,7 +527,7 @@
         let delay_s = self.link.heartbeat.reopen_delay_s(self.rng.rand_float());
         if delay_s > 0.0 {
             self.link.reopen_at = Some(self.now + delay_s);
-            self.agenda.add(self.now + delay_s, Due::Ask);
+            self.timers.add(self.now + delay_s, Deadline::Ask);
         }
         delay_s > 0.0
     }
@@ -567,7 +567,7 @@
             Role::Watch => self.watch_failed(),
             Role::Heartbeat => {
                 let next_at = self.link.heartbeat.failed(self.now);
-                self.agenda.add(next_at, Due::Heartbeat);
+                self.timers.add(next_at, Deadline::Heartbeat);
                 if !self.link.heartbeat.is_trusted() && self.link.reopen_at.take().is_some() {
                     self.ask(); // heartbeats alone are no guard any more
                 }
@@ -579,7 +579,7 @@
         self.link.failed_opens = self.link.failed_opens.saturating_add(1);
         self.core.list_failed(self.now, &mut self.commands);
         if !self.deployment.policy.must_ask {
-            self.agenda.add(self.now + ASK_AGAIN_S, Due::Ask);
+            self.timers.add(self.now + ASK_AGAIN_S, Deadline::Ask);
         }
     }
 
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -6,7 +6,7 @@
 //! let both accept, never leave the queue to a process that has not said `yes` in time, never shut the listener
 //! down, and never wait for the other side without a limit.
 
-use super::{Due, Mixer, NetError, Phase, LISTENERS};
+use super::{Deadline, Mixer, NetError, Phase, LISTENERS};
 use crate::api::{Beliefs, Elsewhere, ReplicaId};
 use crate::choices::{connections, phases::Learned};
 use crate::core::{Load, Style};
@@ -202,7 +202,7 @@
             Ok(stream) => {
                 let (stage, due) = (Stage::Listing, self.now + LIST_S);
                 handover.predecessor = Some(Link { stream, stage, due, inbuf: Vec::new(), out: Vec::new() });
-                self.agenda.add(due, Due::Handover);
+                self.timers.add(due, Deadline::Handover);
                 self.log("handover: another process runs; taking over from it");
             }
             Err(error) => {
@@ -210,7 +210,7 @@
                 if error.kind() != io::ErrorKind::WouldBlock || self.now >= patience {
                     return self.begin("alone");
                 }
-                self.agenda.add(self.now + AGAIN_S, Due::Handover);
+                self.timers.add(self.now + AGAIN_S, Deadline::Handover);
             }
         }
     }
@@ -232,7 +232,7 @@
             return;
         };
         (link.stage, link.due) = (Stage::Asked, now + REPLY_S);
-        self.agenda.add(now + REPLY_S, Due::Handover);
+        self.timers.add(now + REPLY_S, Deadline::Handover);
         self.tell(Side::Predecessor, "want\n".into());
     }
 
@@ -328,7 +328,7 @@
             }
             let (stage, due) = (Stage::Met, self.now + WANT_S);
             handover.successor = Some(Link { stream, stage, due, inbuf: Vec::new(), out: Vec::new() });
-            self.agenda.add(due, Due::Handover);
+            self.timers.add(due, Deadline::Handover);
             self.log("handover: a successor is there");
             self.link_event(Side::Successor);
         }
@@ -355,7 +355,7 @@
         if let Some(link) = self.link(Side::Successor) {
             (link.stage, link.due) = (Stage::Told, now + YES_S);
         }
-        self.agenda.add(now + YES_S, Due::Handover);
+        self.timers.add(now + YES_S, Deadline::Handover);
         self.tell(Side::Successor, text);
     }
 
@@ -386,7 +386,7 @@
             link.stage = Stage::Beside;
         }
         self.tell(Side::Successor, "go\n".into());
-        self.agenda.add(now + LOAD_S, Due::Handover);
+        self.timers.add(now + LOAD_S, Deadline::Handover);
         self.listeners = [None, None];
         self.log(&format!("handover: the successor serves; {} requests held", self.core.open()));
         match self.phase {
@@ -476,12 +476,12 @@
                 if let Some(link) = self.link(side) {
                     (link.stage, link.due) = (Stage::Promised, now + REPLY_S);
                 }
-                self.agenda.add(now + REPLY_S, Due::Handover);
+                self.timers.add(now + REPLY_S, Deadline::Handover);
                 self.tell(side, "yes\n".into());
             }
             (Side::Predecessor, Stage::Promised, "go") => {
                 (link.stage, link.due) = (Stage::Beside, now + SILENCE_S);
-                self.agenda.add(now + SILENCE_S, Due::Handover);
+                self.timers.add(now + SILENCE_S, Deadline::Handover);
                 self.begin("in place of the other process");
             }
             (Side::Predecessor, Stage::Beside, "load") => {
@@ -511,7 +511,7 @@
             }
             (Side::Predecessor, _) => {
                 self.log(&format!("handover: the other process stopped talking ({why})"));
-                self.agenda.add(self.now + AGAIN_S, Due::Handover);
+                self.timers.add(self.now + AGAIN_S, Deadline::Handover);
             }
         }
     }
@@ -530,13 +530,13 @@
                 self.link_over(Side::Predecessor, "nothing said in time");
             }
             // What it said last put the time off.
-            Some((Stage::Beside, false)) => self.agenda.add(now + SILENCE_S, Due::Handover),
+            Some((Stage::Beside, false)) => self.timers.add(now + SILENCE_S, Deadline::Handover),
             _ => {}
         }
         match successor {
             Some((Stage::Met | Stage::Told, true)) => self.link_over(Side::Successor, "no reply in time"),
             Some((Stage::Beside, _)) => {
-                self.agenda.add(self.now + LOAD_S, Due::Handover);
+                self.timers.add(self.now + LOAD_S, Deadline::Handover);
                 // Where the last one has not left yet, this one comes later and tells all.
                 if self.link(Side::Successor).is_some_and(|link| link.out.is_empty()) {
                     let text = format!("load {}\n", json::to_string(&self.load()));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,7 +4,6 @@
 //! files beside it, carries out what the core commands and tells it what came of that. It must never decide about a request,
 //! never block but in its poll, and never let clients take the descriptors that replicas and discovery need.
 
-mod agenda;
 mod clients;
 mod clock;
 mod control;
@@ -19,13 +18,13 @@
 mod reload;
 mod replicas;
 mod table;
+mod timer_queue;
 
 use crate::choices::connections;
 use crate::core::{AttemptKey, Command, Core, Style};
 pub use crate::members::ConnKey;
 use crate::members::Directory;
 use crate::settings::{Deployment, Options, Shape};
-use agenda::{Agenda, Due};
 use clients::ClientState;
 pub use clock::Clock;
 use discovery::DiscoveryLink;
@@ -39,6 +38,7 @@
 use std::rc::Rc;
 use table::{came_up, Conn};
 use thiserror::Error;
+use timer_queue::{Deadline, TimerQueue};
 
 /// Bytes that may wait to be written on a connection to a replica: bounds on what the memory leaves for it.
 const WAITING_LEAST: usize = 64 * 1024;
@@ -113,7 +113,7 @@
     config: PathBuf,
     conns: SlotMap<ConnKey, Conn>,
     flights: SecondaryMap<AttemptKey, ConnKey>, // where each attempt is out
-    agenda: Agenda,
+    timers: TimerQueue,
     core: Core,
     commands: Vec<Command>,
     resumed: Vec<ConnKey>, // clients that may have sent more while they were being answered
@@ -198,7 +198,7 @@
             config,
             conns: SlotMap::with_key(),
             flights: SecondaryMap::new(),
-            agenda: Agenda::default(),
+            timers: TimerQueue::default(),
             core: Core::new(deployment.clone(), options.seed, now),
             commands: Vec::new(),
             resumed: Vec::new(),
@@ -273,7 +273,7 @@
     pub fn run(&mut self) -> Result<(), NetError> {
         let mut events = Events::with_capacity(256);
         while self.phase != Phase::Stopped {
-            let wait = self.agenda.wait(self.clock.now());
+            let wait = self.timers.wait(self.clock.now());
             match self.poll.poll(&mut events, wait) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 result => result?,
@@ -306,7 +306,7 @@
                 self.settle();
             }
             self.now = self.clock.now();
-            while let Some(due) = self.agenda.next(self.now) {
+            while let Some(due) = self.timers.next(self.now) {
                 self.due(due);
                 self.settle();
             }
@@ -350,7 +350,7 @@
                         let key = ConnKey::from(KeyData::from_ffi(caller));
                         self.reply(key, &asked, last, took_s);
                     }
-                    Command::WakeAt { at, wake } => self.agenda.add(at, Due::Core(wake)),
+                    Command::WakeAt { at, wake } => self.timers.add(at, Deadline::Core(wake)),
                     Command::Watch => self.ask(),
                     Command::CloseIdle { replica } => self.close_idle(replica),
                     Command::Log(line) => self.log(&line),
@@ -359,21 +359,21 @@
         }
     }
 
-    fn due(&mut self, due: Due) {
+    fn due(&mut self, due: Deadline) {
         match due {
-            Due::Core(wake) => self.core.wake(self.now, wake, &mut self.commands),
-            Due::Conn(key) => self.conn_due(key),
-            Due::Handover => self.handover_due(),
-            Due::Door => self.admin_accept(),
-            Due::Accept => STYLES.into_iter().for_each(|style| self.accept(style)),
-            Due::Ask => self.ask(),
-            Due::Heartbeat => self.heartbeat_due(),
-            Due::Settings => self.take_settings(),
-            Due::Listen => self.open_listeners(),
-            Due::Vrrp => self.vrrp_take(crate::vrrp::Event::Timer),
-            Due::Refresh => self.refresh(),
-            Due::Operation(id) => self.operation_due(id),
-            Due::Phase => self.phase_due(),
+            Deadline::Core(wake) => self.core.wake(self.now, wake, &mut self.commands),
+            Deadline::Conn(key) => self.conn_due(key),
+            Deadline::Handover => self.handover_due(),
+            Deadline::AdminAccept => self.admin_accept(),
+            Deadline::Accept => STYLES.into_iter().for_each(|style| self.accept(style)),
+            Deadline::Ask => self.ask(),
+            Deadline::Heartbeat => self.heartbeat_due(),
+            Deadline::Settings => self.take_settings(),
+            Deadline::Listen => self.open_listeners(),
+            Deadline::Vrrp => self.vrrp_take(crate::vrrp::Event::Timer),
+            Deadline::Refresh => self.refresh(),
+            Deadline::Operation(id) => self.operation_due(id),
+            Deadline::Phase => self.phase_due(),
         }
     }
 }
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -5,7 +5,7 @@
 //! `settings` (for the next start). It must never be in the way on the platform, where neither is set up, and
 //! never let a client wait for the store without end.
 
-use super::{token, ClientState, Conn, ConnKey, Due, Mixer, NetError, LISTENERS, STORE, STYLES, VRRP};
+use super::{token, ClientState, Conn, ConnKey, Deadline, Mixer, NetError, LISTENERS, STORE, STYLES, VRRP};
 use crate::net::http;
 use crate::settings::{StoreSetup, VrrpSetup};
 use crate::store::{is_storable, Message, Operation, MAX_MESSAGE_BYTES};
@@ -73,7 +73,7 @@
             applied: BTreeMap::new(),
             last_word: None,
         });
-        self.agenda.add(self.now, Due::Refresh);
+        self.timers.add(self.now, Deadline::Refresh);
         Ok(())
     }
 
@@ -122,7 +122,7 @@
         }
         let state = vrrp.router.state();
         if let Some(at) = vrrp.router.due() {
-            self.agenda.add(at, Due::Vrrp);
+            self.timers.add(at, Deadline::Vrrp);
         }
         if state != before {
             self.log(&format!("vrrp: {state:?}"));
@@ -159,7 +159,7 @@
                 }
                 Err(error) => {
                     self.log(&format!("cannot listen on {address} yet: {error}"));
-                    return self.agenda.add(self.now + BIND_AGAIN_S, Due::Listen);
+                    return self.timers.add(self.now + BIND_AGAIN_S, Deadline::Listen);
                 }
             }
         }
@@ -201,7 +201,7 @@
         if store.waiting.is_empty() && store.running.is_none() {
             store.waiting.extend(KEYS.map(|key| (None, key.to_string(), None)));
         }
-        self.agenda.add(self.now + REFRESH_S, Due::Refresh);
+        self.timers.add(self.now + REFRESH_S, Deadline::Refresh);
         self.next_operation();
     }
 
@@ -242,7 +242,7 @@
         let nodes = (store.setup.node, store.setup.peers.len() + 1);
         let (operation, message) = Operation::begin(store.last, &key, value, nodes, floor);
         store.running = Some((client, operation));
-        self.agenda.add(self.now + OPERATION_S, Due::Operation(store.last));
+        self.timers.add(self.now + OPERATION_S, Deadline::Operation(store.last));
         self.broadcast(message);
     }
 
--- a/src/net/phase.rs
+++ b/src/net/phase.rs
@@ -4,7 +4,7 @@
 //! request may have come without reading it once more, and never decide about a request.
 
 use super::clients::ClientState;
-use super::{Conn, Due, Mixer, STYLES};
+use super::{Conn, Deadline, Mixer, STYLES};
 use std::io::Read;
 
 /// What exits must wait for a last answer to be read, at most (seconds).
@@ -86,7 +86,7 @@
     /// When idle clients are sent away next.
     pub(super) fn sweep_idle_at(&mut self, at: f64) {
         self.sweep_at = at;
-        self.agenda.add(at, Due::Phase);
+        self.timers.add(at, Deadline::Phase);
     }
 
     /// Back to work.
@@ -110,7 +110,7 @@
             let until = self.now + self.drain_s;
             self.phase = Phase::Draining { until };
             self.parting_at = self.parting_at.min(until - PARTING_SHARE * self.drain_s);
-            self.agenda.add(until, Due::Phase);
+            self.timers.add(until, Deadline::Phase);
             self.log("drain: told to end; unready, still serving");
         }
     }
@@ -127,7 +127,7 @@
         let longest = self.deployment.policy.classes.iter().map(|class| class.deadline_s);
         let until = self.now + longest.fold(3.0, f64::max);
         (self.phase, self.parting_at) = (Phase::Closing { until }, self.now);
-        self.agenda.add(until, Due::Phase);
+        self.timers.add(until, Deadline::Phase);
         self.send_idle_away(0.0);
         self.log(&format!("drain: listener closed, {} requests held", self.core.open()));
     }
@@ -144,7 +144,7 @@
             self.phase = Phase::Stopped;
             self.log("stop: all that was held is answered");
         } else {
-            self.agenda.add(self.now + LAST_LINGER_S / 4.0, Due::Phase);
+            self.timers.add(self.now + LAST_LINGER_S / 4.0, Deadline::Phase);
         }
     }
 }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -3,7 +3,7 @@
 //! This file owns when new settings are taken up, and the change to another discovery. It must never change anything for a
 //! configuration that is wrong, and never touch requests or connections of clients.
 
-use super::{Due, Mixer};
+use super::{Deadline, Mixer};
 use crate::settings::{Config, Deployment};
 use std::io::Read;
 use std::net::SocketAddr;
@@ -52,7 +52,7 @@
         let new = deployment != *self.deployment;
         self.coming = new.then(|| Rc::new(deployment));
         if new {
-            self.agenda.add(self.now + TAKE_UP_S, Due::Settings);
+            self.timers.add(self.now + TAKE_UP_S, Deadline::Settings);
             self.log("reload: settings are new; they are taken up in a second");
         }
     }
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -5,7 +5,7 @@
 //! drains but at once.
 
 use super::leaf::{LeafConn, Said};
-use super::{came_up, Conn, ConnKey, Due, Mixer, IDLE_SHARE, STYLES};
+use super::{came_up, Conn, ConnKey, Deadline, Mixer, IDLE_SHARE, STYLES};
 use crate::api::{Outcome, ReplicaId};
 use crate::choices::connections;
 use crate::core::{AttemptKey, CallPart};
@@ -148,7 +148,7 @@
             member.conns.push(key);
         }
         self.register(key);
-        self.agenda.add(self.now + self.deployment.connect_timeout_s, Due::Conn(key));
+        self.timers.add(self.now + self.deployment.connect_timeout_s, Deadline::Conn(key));
         Some(key)
     }
 
@@ -166,11 +166,11 @@
         // Guards against a part lost on a connection that the other side is closing: ours goes first.
         let limit = leaf.used_at + IDLE_SHARE * self.deployment.conn_idle_s;
         if self.now + 1e-4 < limit {
-            self.agenda.add(limit, Due::Conn(key));
+            self.timers.add(limit, Deadline::Conn(key));
         } else if leaf.unused() {
             self.drop_conn(key);
         } else {
-            self.agenda.add(self.now + 0.5, Due::Conn(key));
+            self.timers.add(self.now + 0.5, Deadline::Conn(key));
         }
     }
 
@@ -184,7 +184,7 @@
                     leaf.up = true;
                     let _ = leaf.stream.set_nodelay(true);
                     let limit = self.now + IDLE_SHARE * self.deployment.conn_idle_s;
-                    self.agenda.add(limit, Due::Conn(key));
+                    self.timers.add(limit, Deadline::Conn(key));
                 }
                 Err(error) => return self.end_leaf(key, &error.to_string()),
             }
@@ -194,7 +194,7 @@
         let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return };
         let (replica, load) = (leaf.replica, leaf.load.take());
         if let Some(by) = leaf.whole_by() {
-            self.agenda.add(by, Due::Conn(key));
+            self.timers.add(by, Deadline::Conn(key));
         }
         if let Some(member) = self.directory.member(replica) {
             member.load = load.or(member.load.take());
--- a/src/net/agenda.rs
+++ b/src/net/timer_queue.rs
@@ -9,11 +9,11 @@
 
 /// What a deadline is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Due {
+pub(super) enum Deadline {
     Core(Wake),
     Conn(ConnKey),
     Accept,
-    Door,
+    AdminAccept,
     Handover,
     Ask,
     Heartbeat,
@@ -28,24 +28,24 @@
 /// Every deadline of the program, in order of time. None is taken out early: one that has lost its sense
 /// finds its slot gone or its time moved.
 #[derive(Default)]
-pub(super) struct Agenda {
-    dues: BTreeSet<(u64, Due)>,
+pub(super) struct TimerQueue {
+    deadlines: BTreeSet<(u64, Deadline)>,
 }
 
-impl Agenda {
-    pub(super) fn add(&mut self, at: f64, due: Due) {
-        self.dues.insert(((at.max(0.0) * 1e6) as u64, due));
+impl TimerQueue {
+    pub(super) fn add(&mut self, at: f64, deadline: Deadline) {
+        self.deadlines.insert(((at.max(0.0) * 1e6) as u64, deadline));
     }
 
     pub(super) fn wait(&self, now: f64) -> Option<Duration> {
-        let (at, _) = self.dues.first()?;
+        let (at, _) = self.deadlines.first()?;
         Some(Duration::from_micros(at.saturating_sub((now * 1e6) as u64)))
     }
 
-    pub(super) fn next(&mut self, now: f64) -> Option<Due> {
-        let due = self.dues.first().is_some_and(|(at, _)| *at <= (now * 1e6) as u64);
-        if due {
-            self.dues.pop_first().map(|(_, due)| due)
+    pub(super) fn next(&mut self, now: f64) -> Option<Deadline> {
+        let is_due = self.deadlines.first().is_some_and(|(at, _)| *at <= (now * 1e6) as u64);
+        if is_due {
+            self.deadlines.pop_first().map(|(_, deadline)| deadline)
         } else {
             None
         }
