Rename the price of a jam to congestion; decisions stay as they are

choices/jam.rs becomes choices/congestion.rs: congestion, latency target, highest price. No line of its reckoning changes; its two tests assert the same.

--- /dev/null
+++ b/src/choices/congestion/tests.rs
@@ -0,0 +1,29 @@
+//! Tests of congestion.rs that need its privates.
+
+use super::*;
+
+/// One query lost tells a mixer that is asked once in a second more than any reading of a server does.
+#[test]
+fn a_query_lost_asks_nearly_all_and_falls_by_itself() {
+    let mut congestion = Congestion::new(9.5);
+    congestion.lost(5.0, 1.0, 0.1);
+    assert_eq!(congestion.price(5.0, 1.0), 0.0, "few parts turned away are no congestion");
+    congestion.lost(5.0, 1.0, 0.5);
+    assert_eq!(congestion.price(5.0, 1.0), 9.5, "some always pass");
+    assert!(
+        congestion.price(7.0, 1.0) < 9.0 && congestion.price(7.0, 2.0) > congestion.price(7.0, 1.0),
+        "by the latency target"
+    );
+    assert_eq!(congestion.price(60.0, 1.0), 0.0);
+    assert_eq!(congestion.price(4.0, 1.0), 9.5, "time never runs back");
+}
+
+#[test]
+fn a_few_answers_end_it() {
+    let mut congestion = Congestion::new(9.5);
+    congestion.lost(5.0, 1.0, 0.5);
+    (0..4).for_each(|_| congestion.answered(5.0, 1.0));
+    assert_eq!(congestion.price(5.0, 1.0), 0.0);
+    congestion.answered(5.0, 1.0);
+    assert_eq!(congestion.price(5.0, 1.0), 0.0, "nothing is saved up");
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,7 @@
 use crate::choices::idle_loss::IdleLosses;
 use crate::choices::price::{fallen_in_s, MOST_REFUSED, TOKENS};
 use crate::choices::progress::{share, Group, Progress};
-use crate::choices::{asking::Asking, jam::Jam};
+use crate::choices::{asking::Asking, congestion::Congestion};
 use crate::held::*;
 use crate::times::{self, Schedule};
 use std::collections::{BTreeMap, BTreeSet};
@@ -46,7 +46,7 @@
     pace: Pace,
     alarmed: bool,  // a replica or lane may have been barred since the last sweep
     ejections: u64, // how often what is barred has changed
-    jam: Jam,
+    congestion: Congestion,
     readings: Schedule<(ReplicaId, usize)>, // when each lane's interval is over
     lots: Schedule<ReplicaId>,              // when each replica's luck is drawn anew
     memory_s: f64,                          // what is known of a replica fades in this time
@@ -75,7 +75,7 @@
             pace: Pace::default(),
             alarmed: false,
             ejections: 0,
-            jam: Jam::new(MOST_REFUSED * TOKENS),
+            congestion: Congestion::new(MOST_REFUSED * TOKENS),
             readings: Schedule::default(),
             lots: Schedule::default(),
             memory_s: FORGET.0,
@@ -407,13 +407,13 @@
         let late = if query.aim_at <= self.now { self.cfg.classes[class].late_worth } else { 1.0 };
         let tokens = self.rng.rand_float() * TOKENS * late * query.in_share;
         let (offers, price) = self.offers(query);
-        let jam = self.jam.price(self.now, self.cfg.classes[class].aim_s) * (1.0 - self.alone());
+        let entry = self.congestion.price(self.now, self.cfg.classes[class].aim_s) * (1.0 - self.alone());
         // What its tokens do not buy a query that may be answered in part goes without.
         let affordable = |offer: &(PartId, Option<f64>)| offer.1.is_some_and(|price| price <= tokens);
         let chosen: Vec<PartId> = offers.into_iter().filter(affordable).map(|(part, _)| part).collect();
         let bought: f64 = chosen.iter().map(|part| self.parts[part].weight).sum();
-        if bought + SUM_SLACK < self.cfg.classes[class].floor || tokens < jam || self.is_convicted(query) {
-            return self.refuse(id, price.max(jam), out);
+        if bought + SUM_SLACK < self.cfg.classes[class].floor || tokens < entry || self.is_convicted(query) {
+            return self.refuse(id, price.max(entry), out);
         }
         let scouted = chosen.len() > 1 && self.convictions.is_cautious(self.now);
         self.queries.get_mut(&id).expect("looked up above").scouted_from = scouted.then_some(self.now);
@@ -453,7 +453,7 @@
         let query = &self.queries[&id];
         let parts = || query.parts.iter().map(|part| &self.parts[part]);
         let (aim_s, away) = (self.cfg.classes[query.class].aim_s, parts().filter(|part| part.turned_away()));
-        self.jam.lost(self.now, aim_s, away.count() as f64 / query.parts.len().max(1) as f64);
+        self.congestion.lost(self.now, aim_s, away.count() as f64 / query.parts.len().max(1) as f64);
         if self.safe(query.class) || parts().all(|part| part.may_have_run().is_none()) {
             let price = self.offers(query).1;
             return self.refuse(id, price, out);
@@ -910,7 +910,7 @@
     fn answer(&mut self, id: QueryId, whole: bool, out: &mut Vec<Action>) {
         out.push(Action::Answer { query: id, whole });
         let query = &self.queries[&id];
-        self.jam.answered(self.now, self.cfg.classes[query.class].aim_s);
+        self.congestion.answered(self.now, self.cfg.classes[query.class].aim_s);
         let fetch = self.cfg.classes[query.class].second_step as usize;
         if fetch == 0 || query.second_step {
             return self.end_query(id, out);
