--- a/src/logic.rs
+++ b/src/logic.rs
@@ -710,7 +710,7 @@
         (self.past.latencies[class].late * OVERDUE).min(self.cfg.classes[class].aim_s)
     }
 
-    /// Places of parts with a single attempt out for long, in order: none while nothing can be sent for lateness.
+    /// Places of parts with one attempt out for long, in order: none while nothing is sent for lateness.
     fn late_parts(&self, query: &Query) -> Vec<usize> {
         let mut late = Vec::new();
         let is_braked = query.progress.next_pending(0).is_none() && self.is_braked();
