--- a/crates/wharfhub-lab/src/experiments/data_path.rs
+++ b/crates/wharfhub-lab/src/experiments/data_path.rs
@@ -5,15 +5,18 @@
 //! 180 parts a second in an open loop, with and without one slow server and second copies. Times are this machine's;
 //! the verdict rests on the ratio of costs.
 
+mod cost_law;
+
 use super::{Failure, Options, Verdict};
 use crate::daemon::{self, Daemon};
-use crate::fit::{Point, Polynomial};
+use crate::fit::Point;
 use crate::load::{self, Load};
 use crate::report::{chart, Estimate, Line, Table};
 use crate::rules::Rules;
 use crate::site::{cardiff, Class, Day, Layout, Part, Query, Site, Trouble};
 use crate::standin::{self, lock, Shared};
 use crate::{tally, world};
+use cost_law::{CostLaw, MAX_COST_RATIO};
 use rand::Rng;
 use rand_distr::{Distribution, Exp};
 use std::sync::{Arc, Mutex};
@@ -24,13 +27,6 @@
     [(4, "parts-4"), (12, "parts-12"), (45, "parts-45"), (90, "parts-90"), (180, "parts-180")];
 /// The size that the fit does not see and has to predict: its place in [`SIZES`].
 const HELD_OUT: usize = 2;
-/// A part of the largest query may cost so many times one of the size at which parts are cheapest. That is no weaker
-/// than a comparison with the smallest query, of which each part bears a quarter of what the query costs by itself.
-const MAX_COST_RATIO: f64 = 1.5;
-/// The prediction may be off by this share of the measured cost.
-const MAX_PREDICTION_ERROR: f64 = 0.25;
-/// A straight line stands as the law where no point lies further from it, as a share; otherwise a parabola is fitted.
-const MAX_LINE_RESIDUAL: f64 = 0.15;
 
 /// Leaf servers. Each shard has two holders, next to each other.
 const LEAF_SERVERS: u32 = 180;
@@ -234,7 +230,7 @@
     Ok(costs.iter().enumerate().map(cost).collect())
 }
 
-/// Shows the costs, fits their law and judges both.
+/// Shows the costs, and what their law says.
 fn judge_sizes(options: &Options, costs: &[SizeCost], short: &mut Vec<String>) -> Result<(), Failure> {
     let columns = [
         "parts",
@@ -265,39 +261,31 @@
     let title = "CPU of the daemon a part";
     chart(&options.out.join("data-path.svg"), title, ("parts of a query", "µs"), true, &[line])?;
 
-    let seen: Vec<Point> = costs.iter().map(SizeCost::point).collect();
-    let held_out = seen[HELD_OUT];
-    let fitted: Vec<Point> = seen.iter().copied().filter(|point| *point != held_out).collect();
-    let fit = |degree: usize| {
-        let law = Polynomial::fit(degree, &fitted);
-        law.ok_or_else(|| Failure::Other("the sizes determine no law".into()))
-    };
-    let line = fit(1)?;
-    let law = if line.residual <= MAX_LINE_RESIDUAL { line } else { fit(2)? };
-    let terms: Vec<String> = law.coefficients.iter().map(|term| format!("{term:.3}")).collect();
-    let error = law.relative_error(held_out);
+    let points: Vec<Point> = costs.iter().map(SizeCost::point).collect();
+    let found = CostLaw::of(&points, HELD_OUT);
+    let found = found.ok_or_else(|| Failure::Other("the sizes determine no law".into()))?;
+    show_law(&found);
+    short.extend(found.shortfalls());
+    Ok(())
+}
+
+fn show_law(found: &CostLaw) {
+    let terms: Vec<String> = found.law.coefficients.iter().map(|term| format!("{term:.3}")).collect();
     println!(
         "law: CPU µs a query = {} (by rising power of parts), residual {:.1}%; {} parts kept out: predicted {:.0} µs, \
          measured {:.0} µs, error {:.1}%",
         terms.join(" + "),
-        law.residual * 100.0,
-        held_out.size,
-        law.at(held_out.size),
-        held_out.cost,
-        error * 100.0
+        found.law.residual * 100.0,
+        found.held_out.size,
+        found.law.at(found.held_out.size),
+        found.held_out.cost,
+        found.prediction_error * 100.0
+    );
+    println!("CPU a part, largest query over smallest: {:.2}", found.largest_over_smallest);
+    println!(
+        "CPU a part, largest query over the cheapest size: {:.2} (at most {MAX_COST_RATIO})",
+        found.largest_over_cheapest
     );
-    let largest = costs[costs.len() - 1].part_us();
-    let cheapest = costs.iter().map(SizeCost::part_us).fold(f64::MAX, f64::min);
-    println!("CPU a part, largest query over smallest: {:.2}", largest / costs[0].part_us());
-    let ratio = largest / cheapest;
-    println!("CPU a part, largest query over the cheapest size: {ratio:.2} (at most {MAX_COST_RATIO})");
-    if ratio > MAX_COST_RATIO {
-        short.push(format!("a part of the largest query costs {ratio:.2} times the cheapest one"));
-    }
-    if error > MAX_PREDICTION_ERROR {
-        short.push(format!("the law is {:.0}% off at the size kept out", error * 100.0));
-    }
-    Ok(())
 }
 
 /// Clients at the planned rate of one mixer, in an open loop. Gives the row of the table.
