--- a/crates/wharfhub-lab/tests/fleet.rs
+++ b/crates/wharfhub-lab/tests/fleet.rs
@@ -65,6 +65,9 @@
 #[case::compact(1_000, Layout::Compact)]
 #[case::indented(1_000, Layout::Indented)]
 #[case::large(5_300, Layout::Compact)]
+#[case::large_and_indented(5_300, Layout::Indented)]
+#[case::larger(10_000, Layout::Compact)]
+#[case::larger_and_indented(10_000, Layout::Indented)]
 fn a_list_and_a_change_of_each_of_its_lines_come_into_force(#[case] count: u32, #[case] layout: Layout) {
     let discovery = discovery(count, Behavior { layout, ..Behavior::default() });
     let mut mixer = mixer(0, discovery.addresses[0], count);
