Renew a watch each period and check it only when its answer is late

Cause: a call that does not wait costs discovery a turn of its own, a watch that is renewed within 200 ms does not; 32 mixers' heartbeats every 4.5 s (net/discovery.rs, heartbeat_due) overbooked it.

Change: the watch itself is renewed at the mixer's phase of 4.5 s, and only where its answer is 0.1 s late a call of its own checks it, with the repeats as before. An answer of the version that is known is taken too; only older ones are stale. Tests: the model fleet renews watches (as dear as any call there), and the instants of silence are counted from a renewal, which is the worst case; bounds as before.

--- a/src/choices/heartbeat.rs
+++ b/src/choices/heartbeat.rs
@@ -1,20 +1,24 @@
 //! The heartbeat beside a watch on discovery: how a watch that fell silent is found.
 //!
-//! A watch whose connection stays open and tells nothing looks like one that has nothing to tell. So a short call
-//! that discovery answers at once is made beside it, at a fixed period and a phase of the mixer's own, and what that
-//! answer knows and the watch did not tell proves the watch silent. The time until that is found doesn't depend on the
-//! number of mixers; the phases spread their calls evenly. This file owns the times of these calls and how long a watch may wait.
-//! It must never make a call, never read a list, and never read a clock.
-
-/// Period of the heartbeat where lists are asked for (seconds). What a silent watch misses counts as known 6 s after it
-/// fell silent: the period, two failed calls and an answer have to fit. Guards discovery too: 1,000 mixers make 222 such
-/// calls a second, and it answers 250.
+//! A watch whose connection stays open and tells nothing looks like one that has nothing to tell. So a watch is renewed
+//! at a fixed period and a phase of the mixer's own, and its answer is the heartbeat. Where that is late, a short call that
+//! discovery answers at once is made beside it: what it knows and the watch did not tell is taken, and the watch is opened
+//! anew. A renewed watch costs discovery little; a call of its own costs as much as any other, so it is made only then. The
+//! time until a silence is found doesn't depend on the number of mixers; the phases spread their calls evenly. This file
+//! owns the times of these calls and how long a watch may wait. It must never make a call, never read a list, and never
+//! read a clock.
+
+/// Period in which a watch is renewed where lists are asked for (seconds). What a silent watch misses counts as known 6 s
+/// after it fell silent: the period, a late answer, two failed calls and an answer have to fit. Guards discovery too:
+/// 1,000 mixers renew 222 watches a second, and it answers 250 calls.
 const ASKED_PERIOD_S: f64 = 4.5;
 /// The same where lists are pushed: an agent on the mixer's own machine answers (seconds).
 const PUSHED_PERIOD_S: f64 = 2.0;
-/// A heartbeat that is not answered within this time has failed: one that waits is no proof (seconds).
+/// A watch whose answer is so late is checked (seconds).
+const LATE_S: f64 = 0.1;
+/// A check that is not answered within this time has failed: one that waits is no proof (seconds).
 const PATIENCE_S: f64 = 0.3;
-/// A failed heartbeat is repeated so long after it was made, however it failed: faults of one moment pass (seconds).
+/// A failed check is repeated so long after it was made, however it failed: faults of one moment pass (seconds).
 const REPEAT_AFTER_S: f64 = 0.35;
 /// So many repeats in a row; after that discovery counts as unreachable and is called once a period.
 const MAX_REPEATS: u32 = 2;
@@ -24,26 +28,24 @@
 const MAX_SAVED_REPEATS: f64 = 2.0;
 /// What such a call, and the last repeat, may take: a discovery that is behind with its queue answers late (seconds).
 const UNREACHABLE_PATIENCE_S: f64 = 2.0;
-/// After so many failures in a row heartbeats are no guard any more, and watches are short.
+/// After so many failures in a row checks are no guard any more.
 const MAX_UNTRUSTED_FAILURES: u32 = 5;
 
-/// Two heartbeats are at least so far apart (seconds).
+/// Two renewals are at least so far apart (seconds).
 const MIN_DISTANCE_S: f64 = 0.01;
 
-/// Calls for changes that discovery answers in a second with some room, of 250. Guards the heartbeats of a large fleet: where all its watches fall
-/// silent together, they are opened anew in what the heartbeats leave, over at most so long (seconds).
+/// Calls for changes that discovery answers in a second with some room, of 250. Guards the checks of a large fleet: where
+/// all its watches fall silent together, they are opened anew in what the checks leave, over at most so long (seconds).
 const CALLS_PER_S: f64 = 235.0;
 const MAX_REOPEN_S: f64 = 60.0;
 
-/// How long a watch waits at most where a heartbeat guards it, the most that the protocol allows (seconds).
-const GUARDED_WAIT_S: f64 = 60.0;
-/// How long one waits that nothing else guards: at least, for each mixer, and at most (seconds). What it misses is found
+/// How long one waits that no check guards: at least, for each mixer, and at most (seconds). What it misses is found
 /// only when it is given up; the share of each mixer guards discovery against the renewals of a fleet.
 const UNGUARDED_WAIT_S: UnguardedWait =
     UnguardedWait { min_s: 3.5, each_s: 0.012, max_s: 60.0, pushed_s: 3.0 };
 /// The last share of a wait, drawn at random: keeps the renewals of a fleet out of step.
 const WAIT_JITTER: f64 = 0.2;
-/// How much longer than its wait the answer of a watch may take: where it is guarded, and where not (seconds).
+/// How much longer than its wait the answer of a watch may take: where a check guards it, and where not (seconds).
 const GUARDED_LATE_S: f64 = 2.0;
 const UNGUARDED_LATE_S: f64 = 0.75;
 
@@ -109,9 +111,15 @@
         self.fleet.mixers = mixers;
     }
 
-    /// A watch is open: from now on it is checked. Gives when.
+    /// Where no check is due yet, one is due when the answer of a watch that is made now is late. Gives when.
     pub fn start(&mut self, now: f64) -> f64 {
-        *self.next_at.get_or_insert(next_in_phase(self.phase_s, self.period_s, now))
+        *self.next_at.get_or_insert(next_in_phase(self.phase_s, self.period_s, now) + LATE_S)
+    }
+
+    /// A watch is made: it is checked once its answer is late, whatever was due before. Gives when.
+    pub fn watch_made(&mut self, now: f64) -> f64 {
+        self.next_at = None;
+        self.start(now)
     }
 
     /// No watch is open.
@@ -172,8 +180,8 @@
         is_left
     }
 
-    /// How long to go on with heartbeats alone before a watch that fell silent is opened anew
-    /// (seconds); `jitter` is from 0 to 1. Nothing where the fleet's heartbeats leave room for that, or guard nothing.
+    /// How long to go on with checks alone before a watch that fell silent is opened anew
+    /// (seconds); `jitter` is from 0 to 1. Nothing where the fleet's checks leave room for that, or guard nothing.
     pub fn reopen_delay_s(&self, jitter: f64) -> f64 {
         let mixers = f64::from(self.fleet.mixers);
         let left_per_s = (CALLS_PER_S - mixers / self.period_s).max(mixers / MAX_REOPEN_S);
@@ -187,16 +195,17 @@
         self.trusted
     }
 
-    /// How long the next watch waits; `jitter` is from 0 to 1.
-    pub fn watch_times(&self, jitter: f64) -> WatchTimes {
+    /// How long a watch waits that is made now; `jitter` is from 0 to 1.
+    pub fn watch_times(&self, now: f64, jitter: f64) -> WatchTimes {
+        if self.trusted {
+            let wait_s = next_in_phase(self.phase_s, self.period_s, now) - now;
+            return WatchTimes { wait_s, timeout_s: wait_s + GUARDED_LATE_S };
+        }
         let UnguardedWait { min_s, each_s, max_s, pushed_s } = UNGUARDED_WAIT_S;
-        let (most_s, late_s) = match (self.trusted, self.fleet.pushed) {
-            (true, _) => (GUARDED_WAIT_S, GUARDED_LATE_S),
-            (false, true) => (pushed_s, UNGUARDED_LATE_S),
-            (false, false) => ((f64::from(self.fleet.mixers) * each_s).clamp(min_s, max_s), UNGUARDED_LATE_S),
-        };
-        let wait_s = most_s * (1.0 - WAIT_JITTER * jitter);
-        WatchTimes { wait_s, timeout_s: wait_s + late_s }
+        let fleet_share_s = f64::from(self.fleet.mixers) * each_s;
+        let longest_s = if self.fleet.pushed { pushed_s } else { fleet_share_s.clamp(min_s, max_s) };
+        let wait_s = longest_s * (1.0 - WAIT_JITTER * jitter);
+        WatchTimes { wait_s, timeout_s: wait_s + UNGUARDED_LATE_S }
     }
 }
 
--- a/src/choices/heartbeat/tests.rs
+++ b/src/choices/heartbeat/tests.rs
@@ -49,10 +49,16 @@
                 let silent_at = 100.0 + f64::from(instant) / 200.0;
                 let mut heartbeat = Heartbeat::new(Fleet { mixers: 1000, pushed }, 40.0, jitter);
                 heartbeat.answered(50.0);
-                let mut now = heartbeat.start(50.0);
-                while now < silent_at {
-                    assert!(heartbeat.take_due(now));
-                    now = heartbeat.answered(now + 0.001);
+                let mut now = heartbeat.watch_made(50.0);
+                let mut made_at = 50.0;
+                loop {
+                    let answered_at = made_at + heartbeat.watch_times(made_at, jitter).wait_s + 0.001;
+                    if answered_at > silent_at {
+                        break;
+                    }
+                    assert!(!heartbeat.take_due(answered_at), "a watch in time is not checked");
+                    now = heartbeat.watch_made(answered_at);
+                    made_at = answered_at;
                 }
                 for fault in &faults {
                     assert!(heartbeat.take_due(now));
@@ -93,53 +99,66 @@
 
 #[derive(Clone, Copy, PartialEq)]
 enum Kind {
-    Heartbeat,
+    Check,
     Watch,
 }
 
 struct Mixer {
     heartbeat: Heartbeat,
-    renew_at: f64,
-    out: Option<(f64, f64)>, // a heartbeat's start, and when it is given up
+    watch_until: f64, // when its watch is answered and renewed; never while there is none, or it is silent
+    reopen_at: f64,   // when a watch that was put off is opened
+    out: Option<(f64, f64)>, // a check's start, and when it is given up
     failures_left: usize,
     known_at: f64,
 }
 
+impl Mixer {
+    fn new(fleet: Fleet, failures_left: usize, jitter: f64) -> Mixer {
+        let mut heartbeat = Heartbeat::new(fleet, 0.0, jitter);
+        heartbeat.answered(0.0);
+        let (reopen_at, known_at) = (f64::INFINITY, f64::INFINITY);
+        let mut mixer = Mixer { heartbeat, watch_until: 0.0, reopen_at, out: None, failures_left, known_at };
+        mixer.make_watch(0.0);
+        mixer
+    }
+
+    fn make_watch(&mut self, now: f64) {
+        self.watch_until = now + self.heartbeat.watch_times(now, 0.5).wait_s;
+        self.heartbeat.watch_made(now);
+    }
+}
+
 /// What a fleet saw and did.
 struct Outcome {
     last_known_at: f64,
     calls_by_second: Vec<usize>,
 }
 
-/// A fleet on a discovery that takes calls in turn; what was given up costs it so many turns (`dead`). At `silent_at` all
-/// watches fall silent and there is a change; the next calls of each mixer are lost, so many of them.
+/// A fleet on a discovery that takes calls in turn; what was given up costs it so many turns (`dead`), and a renewed watch
+/// as much as any other call. At `silent_at` all watches fall silent and there is a change; the next calls of each mixer
+/// are lost, so many of them.
 fn play(mixers: u32, silent_at: f64, lost: usize, dead: f64) -> Outcome {
     let mut rng = Rand64::new(7);
     let fleet = Fleet { mixers, pushed: false };
-    let mut fleet: Vec<Mixer> = (0..mixers)
-        .map(|_| {
-            let mut heartbeat = Heartbeat::new(fleet, 0.0, rng.rand_float());
-            heartbeat.answered(0.0);
-            let renew_at = rng.rand_float() * heartbeat.watch_times(0.5).wait_s;
-            Mixer { heartbeat, renew_at, out: None, failures_left: lost, known_at: f64::INFINITY }
-        })
-        .collect();
+    let mut fleet: Vec<Mixer> = (0..mixers).map(|_| Mixer::new(fleet, lost, rng.rand_float())).collect();
     let mut queue: VecDeque<(f64, usize, Kind)> = VecDeque::new();
     let (mut free_at, mut calls_by_second) = (0.0f64, vec![0; 31]);
     for step in 0..(30.0 / STEP_S) as u32 {
         let now = f64::from(step) * STEP_S;
+        if now - STEP_S < silent_at && silent_at <= now {
+            fleet.iter_mut().for_each(|mixer| mixer.watch_until = f64::INFINITY);
+        }
         while queue.front().is_some_and(|(made_at, ..)| free_at.max(*made_at) + CALL_S <= now) {
             let Some((made_at, place, kind)) = queue.pop_front() else { break };
             let mixer = &mut fleet[place];
-            let waited_for = mixer.out.take_if(|(since, _)| kind == Kind::Heartbeat && *since == made_at);
-            let share = if kind == Kind::Heartbeat && waited_for.is_none() { dead } else { 1.0 };
+            let waited_for = mixer.out.take_if(|(since, _)| kind == Kind::Check && *since == made_at);
+            let share = if kind == Kind::Check && waited_for.is_none() { dead } else { 1.0 };
             free_at = free_at.max(made_at) + share * CALL_S;
             if waited_for.is_some() {
                 mixer.heartbeat.answered(now);
                 if made_at >= silent_at && mixer.known_at.is_infinite() {
                     mixer.known_at = now;
-                    let delay_s = mixer.heartbeat.reopen_delay_s(rng.rand_float());
-                    mixer.renew_at = now + delay_s; // the watch is opened anew
+                    mixer.reopen_at = now + mixer.heartbeat.reopen_delay_s(rng.rand_float());
                 }
             }
         }
@@ -155,13 +174,13 @@
                     mixer.failures_left -= 1;
                 }
             };
-            if mixer.heartbeat.take_due(now) {
-                call(Kind::Heartbeat);
-                mixer.out = Some((now, now + mixer.heartbeat.patience_s()));
-            }
-            if mixer.renew_at <= now {
+            if mixer.watch_until.min(mixer.reopen_at) <= now {
                 call(Kind::Watch);
-                mixer.renew_at = f64::INFINITY;
+                mixer.reopen_at = f64::INFINITY;
+                mixer.make_watch(now);
+            } else if mixer.heartbeat.take_due(now) {
+                call(Kind::Check);
+                mixer.out = Some((now, now + mixer.heartbeat.patience_s()));
             }
         }
     }
@@ -223,7 +242,8 @@
     assert!([1000, 5000].iter().all(|mixers| (20.0..=MAX_REOPEN_S).contains(&delay_s(*mixers, false, true))));
 }
 
-/// A watch that no heartbeat guards is given up in time to ask again, as far as discovery bears it; a guarded one is long.
+/// A watch that no check guards is given up in time to ask again, as far as discovery bears it; a guarded one is renewed
+/// within a period, whatever the fleet.
 #[rstest::rstest]
 #[case(2)]
 #[case(30)]
@@ -232,19 +252,22 @@
     for pushed in [false, true] {
         let mut heartbeat = Heartbeat::new(Fleet { mixers, pushed }, 0.0, 0.5);
         let is_short = |heartbeat: &Heartbeat| {
-            [0.0, 0.5, 1.0].map(|jitter| heartbeat.watch_times(jitter)).iter().all(|times| {
+            [0.0, 0.5, 1.0].map(|jitter| heartbeat.watch_times(0.0, jitter)).iter().all(|times| {
                 times.timeout_s < 5.0 && times.wait_s > 2.0 && times.timeout_s - times.wait_s < 1.0
             })
         };
         assert!(is_short(&heartbeat));
         heartbeat.answered(1.0);
-        let guarded = heartbeat.watch_times(0.0);
-        assert!(guarded.wait_s <= 60.0 && guarded.timeout_s > guarded.wait_s, "{guarded:?}");
+        for instant in 0..1000 {
+            let guarded = heartbeat.watch_times(f64::from(instant) / 100.0, 0.0);
+            assert!(guarded.wait_s <= ASKED_PERIOD_S + MIN_DISTANCE_S, "{guarded:?}");
+            assert!(guarded.timeout_s > guarded.wait_s + LATE_S, "{guarded:?}");
+        }
         for _ in 0..MAX_UNTRUSTED_FAILURES {
             heartbeat.failed(2.0);
         }
         assert!(is_short(&heartbeat), "it guards no more");
     }
     let heartbeat = Heartbeat::new(Fleet { mixers: 100_000, pushed: false }, 0.0, 0.5);
-    assert!(heartbeat.watch_times(0.0).wait_s <= 60.0);
+    assert!(heartbeat.watch_times(0.0, 0.0).wait_s <= 60.0);
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,9 +4,9 @@
 //! when calls are made is `choices/watch_schedule.rs`'s and `choices/heartbeat.rs`'s. It must never judge a replica, and
 //! never ask a discovery that did not wait again at once.
 //!
-//! There are two connections. A fresh one begins with a call that discovery answers at once; then the watch waits on it
-//! for news. The heartbeat's calls go over the other one. Where a heartbeat brings what the watch has not told, its
-//! connection becomes the watch and the old one is closed.
+//! A connection begins with a call that discovery answers at once; then the watch waits on it for news, and is renewed in
+//! each period. Where its answer is late it is checked by a call on a second connection: with that one's answer that
+//! connection becomes the watch, and the old one is closed.
 
 use super::http::{HttpError, Message, Reader, Start};
 use super::{came_up, Conn, ConnKey, Deadline, Mixer, Phase};
@@ -325,9 +325,9 @@
             return self.make_call(key, Call::WholeList, WHOLE_LIST_TIMEOUT_S);
         };
         self.link.heartbeat.set_mixers(self.deployment.policy.aggregators);
-        let times = self.link.heartbeat.watch_times(self.rng.rand_float());
+        let times = self.link.heartbeat.watch_times(self.now, self.rng.rand_float());
         self.make_call(key, Call::Watch { since, wait_s: times.wait_s }, times.timeout_s);
-        let next_at = self.link.heartbeat.start(self.now);
+        let next_at = self.link.heartbeat.watch_made(self.now);
         self.timers.add(next_at, Deadline::Heartbeat);
     }
 
@@ -365,7 +365,7 @@
         }
     }
 
-    /// The heartbeat's time has come. Only an open watch is checked: one that is being opened says by itself that it works.
+    /// The watch's answer is late, or the time of a call that stands in for a watch has come. Only an open watch is checked: one that is being opened says by itself that it works.
     pub(super) fn heartbeat_due(&mut self) {
         if !self.link.heartbeat.take_due(self.now + TIMER_STEP_S) {
             return;
@@ -390,6 +390,15 @@
         self.call_on(self.link.watch).is_some_and(|open| open.call.waits())
     }
 
+    /// Whether the watch is open and its wait not over.
+    fn is_watch_in_time(&self) -> bool {
+        let open = self.call_on(self.link.watch);
+        open.is_some_and(|open| match open.call {
+            Call::Watch { wait_s, .. } => self.now < open.made_at + wait_s,
+            _ => false,
+        })
+    }
+
     /// The call that is out on a connection.
     fn call_on(&self, key: Option<ConnKey>) -> Option<OpenCall> {
         match self.conns.get(key?) {
@@ -456,10 +465,9 @@
         let list = decode(message)?;
         let (before, told) = (self.revision, members::revision(&list));
         // Two connections are read in no order: what was asked before the last list came may be older than that.
-        let is_stale = open.known != before && told <= before;
+        let is_stale = open.known != before && told < before;
         let has_news = told.is_some() && told != before;
-        let is_wanted = has_news || open.call.waits() || open.call == Call::WholeList || told.is_none();
-        if !is_stale && is_wanted && !self.take_list(&list) {
+        if !is_stale && !self.take_list(&list) {
             return Err(DiscoveryError::NoMembers);
         }
         if !is_stale {
@@ -498,16 +506,15 @@
         }
     }
 
-    /// What a heartbeat brings, or finds with no watch open, makes its connection the watch.
+    /// An answer with news, or one before that of a late watch, makes its connection the watch.
     fn heartbeat_answered(&mut self, key: ConnKey, news: bool) {
         let next_at = self.link.heartbeat.answered(self.now);
         self.timers.add(next_at, Deadline::Heartbeat);
-        let is_watched = self.is_watch_open();
-        if self.link.reopen_at.is_some() || (is_watched && !news) {
+        if self.link.reopen_at.is_some() || (self.is_watch_in_time() && !news) {
             return;
         }
-        if is_watched {
-            self.log("discovery: the heartbeat brought what the watch had not told; it is opened anew");
+        if self.is_watch_open() {
+            self.log("discovery: the watch has fallen silent; it is opened anew");
         }
         if let Some(silent) = self.link.watch {
             self.drop_conn(silent);
