Log and count why requests, attempts and clients' connections end

Counters of requests and attempts move from core.rs to figures.rs, with reasons beside classes; lines on single requests have a bound of their own. METRICS is unchanged, the page has the new figures.

--- a/src/api.rs
+++ b/src/api.rs
@@ -250,7 +250,7 @@
 }
 
 /// How an attempt or a probe ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Outcome {
     /// Served. Where it was asked ahead: nothing there matches, and that is the part's answer.
     Ok,
--- a/src/core.rs
+++ b/src/core.rs
@@ -9,6 +9,7 @@
 
 use crate::api::*;
 use crate::choices::phases::{Learned, Phases};
+use crate::figures::{count, ClassFigures, Figures};
 use crate::settings::Deployment;
 use crate::Aggregator;
 use slotmap::SlotMap;
@@ -17,8 +18,6 @@
 
 /// What sending an answer takes: a request's time is up so much before its client's (seconds).
 const SENDING_S: f64 = 0.005;
-/// Classes that figures are kept for, at most: those that settings once named stay, so that no figure goes down.
-const CLASSES_MOST: usize = 200;
 /// Attempts that are remembered for a successor, at most.
 const RECORDED_MOST: usize = 10_000;
 /// Rounding that sums of weights may show.
@@ -86,7 +85,7 @@
 }
 
 /// Why a request ended without an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Why {
     /// The module's price or its guards; nothing harmful ran.
     Overload,
@@ -208,56 +207,6 @@
     Attempt(AttemptKey),
 }
 
-/// How the requests of one class fared.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ClassFigures {
-    /// Served.
-    pub answered: u64,
-    /// Refused.
-    pub deferred: u64,
-    /// Failed.
-    pub errored: u64,
-    /// Of those served, in part.
-    pub partial: u64,
-    /// Of those served, within the class's aim.
-    pub in_aim: u64,
-    /// Left by their clients.
-    pub left: u64,
-}
-
-/// How requests fared since the start. Nothing in it ever goes down.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Figures {
-    /// By the name of the class, from the moment that the settings name it.
-    pub classes: BTreeMap<String, ClassFigures>,
-    /// Attempts that were written whole to a replica.
-    pub sends: u64,
-}
-
-impl Figures {
-    fn name(&mut self, classes: &[String]) {
-        for class in classes {
-            if self.classes.len() < CLASSES_MOST && !self.classes.contains_key(class) {
-                self.classes.insert(class.clone(), ClassFigures::default());
-            }
-        }
-    }
-
-    /// Both together.
-    pub fn add(&mut self, other: &Figures) {
-        self.sends += other.sends;
-        for (class, more) in &other.classes {
-            let sum = self.classes.entry(class.clone()).or_default();
-            sum.answered += more.answered;
-            sum.deferred += more.deferred;
-            sum.errored += more.errored;
-            sum.partial += more.partial;
-            sum.in_aim += more.in_aim;
-            sum.left += more.left;
-        }
-    }
-}
-
 struct Request {
     asked: Rc<Asked>,
     caller: u64,
@@ -275,15 +224,27 @@
     request: Option<RequestKey>, // none once it has its final answer
     place: usize,
     attempts: Vec<Option<AttemptKey>>, // by number; none once ended
+    last_outcome: Option<Outcome>,     // of the attempt that ended last
     ran: Vec<(u8, f64)>, // attempts that are not proved never to have run, each with when it was sent
 }
 
+impl PartState {
+    fn new(request: RequestKey, place: usize) -> PartState {
+        PartState { request: Some(request), place, attempts: Vec::new(), last_outcome: None, ran: Vec::new() }
+    }
+
+    fn is_in_flight(&self) -> bool {
+        self.attempts.iter().any(Option::is_some)
+    }
+}
+
 struct Attempt {
     part: PartId,
     number: u8,
     replica: ReplicaId,
     sent_at: f64,
     ahead: bool,
+    style: Style, // of its request
 }
 
 /// What the module is given of a deployment. Behind the classes stand those of asking ahead.
@@ -452,6 +413,11 @@
         self.module.past.latencies.iter().map(|latencies| latencies.late).fold(0.0, f64::max)
     }
 
+    /// The client's name for a request that has no final answer yet.
+    pub fn id_of(&self, key: RequestKey) -> Option<&str> {
+        self.requests.get(key).map(|request| request.asked.id.as_str())
+    }
+
     /// Requests that have no final answer yet.
     pub fn open(&self) -> usize {
         self.requests.len()
@@ -550,8 +516,7 @@
             ahead,
         }));
         for (place, (id, part)) in parts.into_iter().zip(&asked.parts).enumerate() {
-            self.parts
-                .insert(id, PartState { request: Some(key), place, attempts: Vec::new(), ran: Vec::new() });
+            self.parts.insert(id, PartState::new(key, place));
             let (shard, weight, cost_hint_s) = (part.shard, part.weight, part.hint_s);
             self.events.push_back(Event::Part(NewPart {
                 id,
@@ -703,7 +668,12 @@
         };
         let left = request.taken_at + request.asked.wait_s - SENDING_S - now;
         let wait_s = if max_wait_s == 0.0 { left } else { max_wait_s.min(left) }.max(0.0);
-        let key = self.attempts.insert(Attempt { part: id, number, replica, sent_at: now, ahead });
+        let style = request.asked.style;
+        if number > 0 {
+            let before = if part.is_in_flight() { None } else { part.last_outcome };
+            count(&mut self.figures[style as usize].repeats, before);
+        }
+        let key = self.attempts.insert(Attempt { part: id, number, replica, sent_at: now, ahead, style });
         part.attempts.push(Some(key));
         let first = part.ran.first().map(|(_, sent_at)| *sent_at);
         part.ran.push((number, now));
@@ -737,6 +707,7 @@
         let unseen = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot].contains(&outcome);
         if let Some(part) = self.parts.get_mut(&attempt.part) {
             part.attempts[usize::from(number)] = None;
+            part.last_outcome = Some(outcome);
             part.ran.retain(|(other, _)| *other != number || !unseen);
             if let Some(request) = part.request.and_then(|key| self.requests.get_mut(key)) {
                 let first = request.values[part.place].is_none();
@@ -751,6 +722,7 @@
                 self.parts.remove(&attempt.part);
             }
         }
+        count(&mut self.figures[attempt.style as usize].attempts, outcome);
         let end = AttemptEnd { part: attempt.part, attempt: number, replica, took_s, outcome };
         self.events.push_back(Event::AttemptEnded(end));
     }
@@ -798,6 +770,12 @@
         self.unsend(now, &request, out);
         let took_s = now - request.taken_at;
         let aim_s = request.rules.aim_s;
+        let reasons = &mut self.figures[request.asked.style as usize];
+        match &last {
+            Final::Answered { .. } => {}
+            Final::Refused { why, .. } => count(&mut reasons.refused, *why),
+            Final::Failed { why, .. } => count(&mut reasons.failed, *why),
+        }
         if let Some(figures) = self.class_figures(&request.asked) {
             match &last {
                 Final::Answered { whole, .. } => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod api;
 pub mod choices;
 pub mod core;
+pub mod figures;
 mod held;
 mod logic;
 pub mod members;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -7,6 +7,7 @@
 use super::http::{self, HttpError, Message, Reader, Start};
 use super::{opensearch, platform, Conn, ConnKey, Deadline, Mixer, ACCEPT_AGAIN_S};
 use crate::core::{Asked, Final, RequestKey, Style};
+use crate::figures::count;
 use crate::store::MAX_VALUE_BYTES;
 use mio::net::TcpStream;
 use slotmap::Key;
@@ -54,6 +55,37 @@
     Lingering,
 }
 
+/// Why a client's connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum CloseReason {
+    /// The client closed its side.
+    ClientClosed,
+    /// It was reset, or could not be read.
+    ReadFailed,
+    /// An answer could not be written.
+    WriteFailed,
+    /// An answer was not read in time.
+    AnswerNotRead,
+    /// Its last answer is out, and the client did not close in time.
+    AfterLastAnswer,
+    /// It made room for another client.
+    Evicted,
+}
+
+impl CloseReason {
+    /// The word by which it is shown.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            CloseReason::ClientClosed => "client_closed",
+            CloseReason::ReadFailed => "read_failed",
+            CloseReason::WriteFailed => "write_failed",
+            CloseReason::AnswerNotRead => "answer_not_read",
+            CloseReason::AfterLastAnswer => "after_last_answer",
+            CloseReason::Evicted => "evicted",
+        }
+    }
+}
+
 pub(super) struct Client {
     pub(super) stream: TcpStream,
     pub(super) style: Style,
@@ -231,7 +263,7 @@
                         _ => false,
                     };
                     if same {
-                        self.drop_conn(key);
+                        self.close_client(key, CloseReason::Evicted);
                         return true;
                     }
                 }
@@ -273,7 +305,7 @@
                 Ok(0) => {
                     client.ended = true;
                     // The end of a client that has no request with us.
-                    return self.drop_conn(key);
+                    return self.close_client(key, CloseReason::ClientClosed);
                 }
                 Ok(count) => {
                     if client.state == ClientState::Lingering {
@@ -293,7 +325,7 @@
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return self.drop_conn(key),
+                Err(_) => return self.close_client(key, CloseReason::ReadFailed),
             }
         }
     }
@@ -315,9 +347,13 @@
         }
         if client.ended {
             if let ClientState::Pending(request) = client.state {
+                let held_s = self.now - client.since;
+                if let Some(id) = self.core.id_of(request).map(String::from) {
+                    self.log_request(|_| format!("request {id}: its client left after {held_s:.3} s"));
+                }
                 self.core.leave(self.now, request, &mut self.commands);
             }
-            self.drop_conn(key);
+            self.close_client(key, CloseReason::ClientClosed);
         }
     }
 
@@ -401,7 +437,7 @@
     pub(super) fn hold(&mut self, key: ConnKey, asked: Asked, context: Option<opensearch::Context>) {
         let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
         if client.ended || matches!(client.stream.peek(&mut [0]), Ok(0)) {
-            return self.drop_conn(key);
+            return self.close_client(key, CloseReason::ClientClosed);
         }
         let request = self.core.take(self.now, asked, key.data().as_ffi(), &mut self.commands);
         if let Some(Conn::Client(client)) = self.conns.get_mut(key) {
@@ -443,7 +479,7 @@
                 Ok(count) => client.written += count,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return self.drop_conn(key),
+                Err(_) => return self.close_client(key, CloseReason::WriteFailed),
             }
         }
         client.out = Vec::new();
@@ -503,10 +539,17 @@
                 };
                 self.respond(key, bytes, true);
             }
-            _ => self.drop_conn(key),
+            ClientState::Lingering => self.close_client(key, CloseReason::AfterLastAnswer),
+            _ => self.close_client(key, CloseReason::AnswerNotRead),
         }
     }
 
+    /// The one place where a client's connection ends by our doing or is found to be over.
+    fn close_client(&mut self, key: ConnKey, reason: CloseReason) {
+        count(&mut self.closed_clients, reason);
+        self.drop_conn(key);
+    }
+
     /// Something came from a client, its side is closed, or more can be written to it.
     pub(super) fn client_event(&mut self, key: ConnKey, ended: bool) {
         let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
@@ -521,6 +564,7 @@
     /// Gives a client the final answer to its request, in its style.
     pub(super) fn reply(&mut self, key: ConnKey, asked: &Asked, last: Final, took_s: f64) {
         let parting = self.parts_with_clients();
+        self.log_unanswered(asked, &last, took_s);
         let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
         let close = parting || client.close;
         let bytes = match client.context.take() {
@@ -529,4 +573,18 @@
         };
         self.respond(key, bytes, close);
     }
+
+    /// A line on a request that got no answer from leaf servers: which, why, and by which list it was handled.
+    fn log_unanswered(&mut self, asked: &Asked, last: &Final, took_s: f64) {
+        let (how, why) = match last {
+            Final::Answered { .. } => return,
+            Final::Refused { why, .. } => ("refused", why.label()),
+            Final::Failed { why, .. } => ("failed", why.label()),
+        };
+        self.log_request(|mixer| {
+            let Asked { id, class_name, parts, .. } = asked;
+            let (count, revision) = (parts.len(), mixer.revision);
+            format!("request {id}: {how} ({why}) after {took_s:.3} s, {class_name}, {count} parts, list revision {revision:?}")
+        });
+    }
 }
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -5,7 +5,8 @@
 //! may use, and never count: every figure is told by whoever settles what it counts.
 
 use super::{http, token, Conn, ConnKey, Deadline, Mixer, NetError, Phase, ADMIN, STYLES};
-use crate::core::{Figures, Style};
+use crate::core::Style;
+use crate::figures::Figures;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry};
 use std::fmt::Write as _;
@@ -278,6 +279,28 @@
         out
     }
 
+    /// Why requests were refused or failed, attempts ended or were repeated, and clients' connections closed.
+    fn render_reasons(&self, figures: &Figures, out: &mut String) {
+        let mut line = |name: &str, label: &str, value: &str, count: u64| {
+            let _ = writeln!(out, "svc_{name}_total{{{label}=\"{value}\"}} {count}");
+        };
+        for (why, count) in &figures.refused {
+            line("refused", "why", why.label(), *count);
+        }
+        for (why, count) in &figures.failed {
+            line("failed", "why", why.label(), *count);
+        }
+        for (outcome, count) in &figures.attempts {
+            line("attempts", "outcome", outcome.label(), *count);
+        }
+        for (before, count) in &figures.repeats {
+            line("repeats", "after", before.map_or("in_flight", |outcome| outcome.label()), *count);
+        }
+        for (reason, count) in &self.closed_clients {
+            line("clients_closed", "reason", reason.label(), *count);
+        }
+    }
+
     /// The figures as a page, with some more on each class; `?style=platform` or `?style=search`: of that front alone.
     pub(super) fn figures_page(&mut self, key: ConnKey, target: &str, close: bool) {
         let asked = target.split_once("?style=").map(|(_, style)| style);
@@ -288,6 +311,7 @@
             }
         }
         let mut text = self.render(&figures);
+        self.render_reasons(&figures, &mut text);
         for (class, count) in &figures.classes {
             let more = [("partial", count.partial), ("in_aim", count.in_aim), ("left", count.left)];
             for (name, count) in more {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -308,6 +308,7 @@
             }
             return;
         }
+        self.log_first_call();
         let Some(key) = self.open_discovery(Role::Watch) else { return };
         if heartbeats_went_on {
             return self.continue_watch(key); // no other call is needed first
@@ -319,6 +320,27 @@
         self.make_call(key, call, self.link.open_timeout_s(call));
     }
 
+    /// Until its first call a mixer goes by the list that it was started with.
+    fn log_first_call(&mut self) {
+        if !self.link.worked && self.link.failed_opens == 0 {
+            let revision = self.revision;
+            self.log(&format!(
+                "discovery: first call; the list in use is of revision {revision:?}, not confirmed"
+            ));
+        }
+    }
+
+    /// An answer has confirmed the list, for the first time or after calls that failed.
+    fn log_confirmed(&mut self, failed_opens: u32) {
+        if self.link.worked && failed_opens == 0 {
+            return;
+        }
+        let revision = self.revision;
+        self.log(&format!(
+            "discovery: list confirmed, revision {revision:?}, {failed_opens} calls had failed"
+        ));
+    }
+
     /// The next call on a connection that has answered one.
     fn continue_watch(&mut self, key: ConnKey) {
         let Some(since) = self.revision else {
@@ -467,6 +489,11 @@
         // Two connections are read in no order: what was asked before the last list came may be older than that.
         let is_stale = open.known != before && told < before;
         let has_news = told.is_some() && told != before;
+        if is_stale {
+            self.log(&format!(
+                "discovery: an answer of revision {told:?} is older than {before:?} and not taken"
+            ));
+        }
         if !is_stale && !self.take_list(&list) {
             return Err(DiscoveryError::NoMembers);
         }
@@ -477,6 +504,7 @@
     }
 
     fn watch_answered(&mut self, key: ConnKey, open: OpenCall, news: bool) {
+        self.log_confirmed(self.link.failed_opens);
         self.link.worked = true;
         if std::mem::take(&mut self.link.failed_opens) > 0 {
             self.take_entries(false, Vec::new()); // the module counts failures up to the next list
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod handover;
 pub mod http;
 pub mod leaf;
+mod logging;
 pub mod opensearch;
 pub mod operator;
 mod phase;
@@ -25,14 +26,16 @@
 pub use crate::members::ConnKey;
 use crate::members::Directory;
 use crate::settings::{Deployment, Options, Shape};
-use clients::ClientState;
+use clients::{ClientState, CloseReason};
 pub use clock::Clock;
 use discovery::DiscoveryLink;
+use logging::Log;
 use mio::net::{TcpListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
 use phase::Phase;
 use slotmap::{Key, KeyData, SecondaryMap, SlotMap};
-use std::io::{self, Write};
+use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -51,8 +54,6 @@
 const ACCEPT_AGAIN_S: f64 = 0.02;
 /// Of the time after which a replica closes an idle connection, the share after which we do.
 const IDLE_SHARE: f64 = 0.8;
-/// Log lines in a second, at most.
-const LINES_MOST: u32 = 50;
 const LISTENERS: [Token; 2] = [Token(0), Token(1)]; // by style
 const SIGNALS: Token = Token(2);
 const STORE: Token = Token(3);
@@ -139,12 +140,13 @@
     clock: Clock,
     now: f64,
     clients: usize,
+    closed_clients: BTreeMap<CloseReason, u64>,
     usable: usize,        // descriptors for connections to clients and replicas
     crowd: usize,         // more clients than this are one
     buffered_most: usize, // bytes of requests that are not whole yet, over all clients
     leaves: usize,
     waiting_most: usize, // bytes that may wait to be written to one replica's connection
-    lines: (f64, u32),
+    log: Log,
     search_tenant: Option<String>,
     last_search: u64,
     drain_s: f64,
@@ -223,12 +225,13 @@
             clock,
             now,
             clients: 0,
+            closed_clients: BTreeMap::new(),
             usable,
             crowd: (CROWD * options.sockets as f64 / 3.0) as usize,
             buffered_most: options.memory / 8,
             leaves: 0,
             waiting_most: (options.memory / 8 / leaves_most).clamp(WAITING_LEAST, WAITING_MOST),
-            lines: (now, 0),
+            log: Log::new(now),
             search_tenant: options.search_tenant,
             last_search: 0,
             drain_s: options.drain_s,
@@ -315,17 +318,6 @@
         Ok(())
     }
 
-    fn log(&mut self, line: &str) {
-        if self.now >= self.lines.0 + 1.0 {
-            self.lines = (self.now, 0);
-        }
-        self.lines.1 += 1;
-        if self.lines.1 <= LINES_MOST {
-            // A log that nobody reads is no reason to end.
-            let _ = writeln!(io::stderr(), "wharfhub {:.3} {line}", self.clock.since_start(self.now));
-        }
-    }
-
     fn log_listeners(&mut self) {
         for (style, what) in STYLES.into_iter().zip(["", ", search API"]) {
             let address = self.listeners[style as usize].as_ref().map(TcpListener::local_addr);
