--- a/tests/discovery_silence.rs
+++ b/tests/discovery_silence.rs
@@ -2,130 +2,22 @@
 //!
 //! The one time that is asserted is the rule's own: what a silent watch misses has to be known 6 s after it fell silent.
 
+mod stand_ins;
+
 use rstest::rstest;
+use stand_ins::{discovery, list, Program, Reply, Setup, PATIENCE, UNREACHABLE_SERVER as MEMBERS};
 use std::fmt::Write as _;
-use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{channel, Receiver};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// What a silent watch misses counts as known so long after it fell silent.
 const TERM: Duration = Duration::from_secs(6);
-const PATIENCE: Duration = Duration::from_secs(60);
-/// Draws the times that are random: with this one a watch among 1,000 mixers is put off for some seconds only.
-const SEED: u32 = 7;
-const SETTINGS: &str = include_str!("exchanges/settings.json");
-const MEMBERS: &str = r#"{"id":"s0","host_port":"127.0.0.1:1","cell":0,"phase":"Ready","up_since_ms":0}"#;
-
-/// A call as the stand-in reads it: the version it asks from and how long it waits (ms); none for the whole list.
-type Asked = Option<(u64, u64)>;
-
-enum Reply {
-    List(String),
-    Status(u16),
-    Nothing,
-    Reset,
-}
-
-fn list(revision: u64, complete: bool, members: &str) -> Reply {
-    Reply::List(format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":[{members}]}}"))
-}
-
-/// A discovery that answers each call with what `reply` says. It ends with the test's process.
-fn discovery(reply: impl Fn(Asked) -> Reply + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let reply = Arc::new(reply);
-    std::thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let reply = reply.clone();
-            std::thread::spawn(move || answer_calls(stream, reply.as_ref()));
-        }
-    });
-    address
-}
-
-fn answer_calls(mut stream: TcpStream, reply: &dyn Fn(Asked) -> Reply) {
-    let mut lines = BufReader::new(stream.try_clone().expect("a descriptor")).lines().map_while(Result::ok);
-    while let Some(line) = lines.next() {
-        let number = |key: &str| {
-            let rest = line.split_once(key)?.1;
-            rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
-        };
-        let asked = number("index=").zip(number("wait="));
-        lines.by_ref().take_while(|header| !header.is_empty()).for_each(drop);
-        let sent = match reply(asked) {
-            Reply::Nothing => continue,
-            Reply::Reset => return,
-            Reply::Status(status) => {
-                write!(stream, "HTTP/1.1 {status} No\r\nContent-Length: 0\r\n\r\n")
-            }
-            Reply::List(body) => {
-                write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
-            }
-        };
-        if sent.is_err() {
-            return;
-        }
-    }
-}
-
-struct Program {
-    child: Child,
-    path: PathBuf,
-    log: Receiver<(Instant, String)>,
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.path);
-    }
-}
 
-impl Program {
-    /// Starts it; `known` is its last known list, and `mode` how lists come.
-    fn start(mixers: u32, mode: &str, discovery: SocketAddr, known: bool) -> Program {
-        let settings = SETTINGS.replace("\"replicasOfMe\": 1", &format!("\"replicasOfMe\": {mixers}"));
-        let settings = settings.replace("\"subscribe\"", &format!("\"{mode}\""));
-        let known = if known {
-            format!("\"known\":{{\"revision\":1,\"complete\":true,\"members\":[{MEMBERS}]}},")
-        } else {
-            String::new()
-        };
-        let config = format!(
-            "{{\"settings\":{settings},\"listen\":\"127.0.0.1:0\",\"seed\":\"{SEED}\",{known}\
-             \"limits\":{{\"memory_mb\":64}},\"discovery\":\"{discovery}\"}}"
-        );
-        let name = format!("wharfhub-silence-{}-{}", std::process::id(), discovery.port());
-        let path = std::env::temp_dir().join(name);
-        std::fs::write(&path, config).expect("a file for the configuration");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_wharfhub"));
-        let mut child =
-            command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped()).spawn().expect("a program");
-        let (lines, log) = channel();
-        let errors = BufReader::new(child.stderr.take().expect("piped"));
-        std::thread::spawn(move || {
-            errors.lines().map_while(Result::ok).all(|line| lines.send((Instant::now(), line)).is_ok())
-        });
-        Program { child, path, log }
-    }
-
-    /// Waits until it has logged that; gives when.
-    fn await_log(&self, text: &str) -> Instant {
-        let end = Instant::now() + PATIENCE;
-        loop {
-            let left = end.saturating_duration_since(Instant::now());
-            let (at, line) = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("never logged: {text}"));
-            if line.contains(text) {
-                return at;
-            }
-        }
-    }
+/// Starts the program; `known` is whether it has a last known list, and `mode` how lists come.
+fn start(mixers: u32, mode: &'static str, discovery: SocketAddr, known: bool) -> Program {
+    let known = known.then(|| MEMBERS.to_string());
+    Program::start(&Setup { mixers, mode, discovery, known })
 }
 
 /// When the watch falls silent, and a change is made in the same instant.
@@ -165,7 +57,7 @@
         (Instants::CallAnswered, vec![Fault::Silent, Fault::Silent])
     )]
     case: (Instants, Vec<Fault>),
-    #[values("subscribe", "automatic")] mode: &str,
+    #[values("subscribe", "automatic")] mode: &'static str,
 ) {
     let (instant, faults) = case;
     let silence = Arc::new(Mutex::new(Silence::default()));
@@ -198,7 +90,7 @@
             list(1, false, "")
         }
     });
-    let program = Program::start(mixers, mode, address, true);
+    let program = start(mixers, mode, address, true);
     let known_at = program.await_log("discovery: revision Some(2)");
     let since = silence.lock().expect("a lock").since.expect("it fell silent");
     assert!(known_at <= since + TERM, "known after {:?}", known_at - since);
@@ -215,7 +107,7 @@
         Some((3, _)) => list(4, false, &MEMBERS.replace("Ready", "Terminating")),
         Some(_) => Reply::Nothing,
     });
-    Program::start(2, "subscribe", address, true).await_log("discovery: revision Some(4)");
+    start(2, "subscribe", address, true).await_log("discovery: revision Some(4)");
 }
 
 /// A discovery that was restarted counts its versions anew; one that refuses calls for changes answers whole lists.
@@ -232,7 +124,7 @@
         Some((9, _)) => Reply::Reset,
         Some(_) => Reply::Nothing,
     });
-    let program = Program::start(2, "subscribe", address, true);
+    let program = start(2, "subscribe", address, true);
     program.await_log("discovery: revision Some(9)");
     program.await_log("discovery: revision Some(2)");
 }
@@ -251,7 +143,7 @@
         }
         list(if *count < 3 { 2 } else { 3 }, true, MEMBERS)
     });
-    let program = Program::start(2, "automatic", address, true);
+    let program = start(2, "automatic", address, true);
     program.await_log("discovery: revision Some(2)");
     let mut lines = 0;
     let end = Instant::now() + PATIENCE;
@@ -286,8 +178,7 @@
         None => list(7, true, &members),
         Some(_) => Reply::Nothing,
     });
-    Program::start(860, "automatic", address, false)
-        .await_log("discovery: revision Some(7), 10000 lines, full true");
+    start(860, "automatic", address, false).await_log("discovery: revision Some(7), 10000 lines, full true");
 }
 
 /// A list over the limit is named with its size and the limit, and asked for ever more rarely.
@@ -295,7 +186,7 @@
 fn a_list_over_the_limit_is_asked_for_ever_more_rarely() {
     let long = " ".repeat(5_000_000);
     let address = discovery(move |_| Reply::List(long.clone()));
-    let program = Program::start(30, "subscribe", address, true);
+    let program = start(30, "subscribe", address, true);
     for wait_s in [1, 2, 4] {
         program.await_log(&format!(
             "call failed (the list has 5000000 bytes or more, 4194304 are read (a share of limits.memory_mb)); \
--- /dev/null
+++ b/tests/stand_ins/mod.rs
@@ -0,0 +1,266 @@
+//! The program as a real process, and stand-ins for discovery, leaf servers and clients on loopback sockets.
+//!
+//! A stand-in ends with the process of its test.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes on a busy machine.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+/// Draws the times that are random: with this one a watch among 1,000 mixers is put off for some seconds only.
+const SEED: u32 = 7;
+const SETTINGS: &str = include_str!("../exchanges/settings.json");
+/// The line of a list for a server that nobody listens for.
+pub const UNREACHABLE_SERVER: &str =
+    r#"{"id":"s0","host_port":"127.0.0.1:1","cell":0,"phase":"Ready","up_since_ms":0}"#;
+
+/// A call as the stand-in reads it: the version it asks from and how long it waits (ms); none for the whole list.
+pub type Asked = Option<(u64, u64)>;
+
+pub enum Reply {
+    List(String),
+    Status(u16),
+    Nothing,
+    Reset,
+}
+
+/// A list, or the changes of one.
+pub fn list(revision: u64, complete: bool, members: &str) -> Reply {
+    Reply::List(format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":[{members}]}}"))
+}
+
+/// A discovery that answers each call with what `reply` says. It ends with the test's process.
+pub fn discovery(reply: impl Fn(Asked) -> Reply + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let reply = Arc::new(reply);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let reply = reply.clone();
+            std::thread::spawn(move || answer_calls(stream, reply.as_ref()));
+        }
+    });
+    address
+}
+
+fn answer_calls(mut stream: TcpStream, reply: &dyn Fn(Asked) -> Reply) {
+    let mut lines = BufReader::new(stream.try_clone().expect("a descriptor")).lines().map_while(Result::ok);
+    while let Some(line) = lines.next() {
+        let number = |key: &str| {
+            let rest = line.split_once(key)?.1;
+            rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+        };
+        let asked = number("index=").zip(number("wait="));
+        lines.by_ref().take_while(|header| !header.is_empty()).for_each(drop);
+        let sent = match reply(asked) {
+            Reply::Nothing => continue,
+            Reply::Reset => return,
+            Reply::Status(status) => {
+                write!(stream, "HTTP/1.1 {status} No\r\nContent-Length: 0\r\n\r\n")
+            }
+            Reply::List(body) => {
+                write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+            }
+        };
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
+/// How the program is started.
+pub struct Setup {
+    /// How many mixers its settings tell of.
+    pub mixers: u32,
+    /// How lists come: `subscribe` or `automatic`.
+    pub mode: &'static str,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// The lines of its last known list, of revision 1, where it has one.
+    pub known: Option<String>,
+}
+
+/// The program. It ends with this value.
+pub struct Program {
+    pub child: Child,
+    pub log: Receiver<(Instant, String)>,
+    /// When it was started.
+    pub started_at: Instant,
+    path: PathBuf,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+impl Program {
+    /// Starts it.
+    pub fn start(setup: &Setup) -> Program {
+        let Setup { mixers, mode, discovery, known } = setup;
+        let settings = SETTINGS.replace("\"replicasOfMe\": 1", &format!("\"replicasOfMe\": {mixers}"));
+        let settings = settings.replace("\"subscribe\"", &format!("\"{mode}\""));
+        let known = known.as_ref().map_or(String::new(), |members| {
+            format!("\"known\":{{\"revision\":1,\"complete\":true,\"members\":[{members}]}},")
+        });
+        let config = format!(
+            "{{\"settings\":{settings},\"listen\":\"127.0.0.1:0\",\"seed\":\"{SEED}\",{known}\
+             \"limits\":{{\"memory_mb\":64}},\"discovery\":\"{discovery}\"}}"
+        );
+        let name = format!("wharfhub-test-{}-{}-{mixers}-{mode}", std::process::id(), discovery.port());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, config).expect("a file for the configuration");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wharfhub"));
+        let started_at = Instant::now();
+        let mut child =
+            command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped()).spawn().expect("a program");
+        let (lines, log) = channel();
+        let errors = BufReader::new(child.stderr.take().expect("piped"));
+        std::thread::spawn(move || {
+            errors.lines().map_while(Result::ok).all(|line| lines.send((Instant::now(), line)).is_ok())
+        });
+        Program { child, log, started_at, path }
+    }
+
+    /// Where it listens for clients.
+    pub fn await_address(&self) -> SocketAddr {
+        let (_, line) = self.await_line("start: ");
+        let address = line.split(" on ").nth(1).expect("a line that names the address");
+        address.trim().parse().expect("an address")
+    }
+
+    /// Waits until it has logged that; gives when.
+    pub fn await_log(&self, text: &str) -> Instant {
+        self.await_line(text).0
+    }
+
+    /// The same, with the line.
+    pub fn await_line(&self, text: &str) -> (Instant, String) {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            let (at, line) = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("never logged: {text}"));
+            if line.contains(text) {
+                return (at, line);
+            }
+        }
+    }
+}
+
+/// A leaf server that serves all it is asked, and remembers when each call came.
+pub struct LeafServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    calls: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl LeafServer {
+    /// Starts it.
+    pub fn start() -> LeafServer {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let calls = Arc::new(Mutex::new(Vec::new()));
+        let shared = calls.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let calls = shared.clone();
+                std::thread::spawn(move || serve_parts(stream, &calls));
+            }
+        });
+        LeafServer { address, calls }
+    }
+
+    /// When each call came.
+    pub fn calls(&self) -> Vec<Instant> {
+        self.calls.lock().expect("a lock").clone()
+    }
+
+    /// Its line in a list.
+    pub fn line(&self, name: &str, phase: &str) -> String {
+        let address = self.address;
+        format!(
+            "{{\"id\":\"{name}\",\"host_port\":\"{address}\",\"cell\":0,\"phase\":\"{phase}\",\"up_since_ms\":0}}"
+        )
+    }
+}
+
+/// Answers calls of one part each until the connection ends.
+fn serve_parts(mut stream: TcpStream, calls: &Mutex<Vec<Instant>>) {
+    let _ = stream.set_nodelay(true);
+    let mut length = [0; 4];
+    while stream.read_exact(&mut length).is_ok() {
+        let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+        if stream.read_exact(&mut frame).is_err() || frame[0] != b'q' {
+            continue;
+        }
+        calls.lock().expect("a lock").push(Instant::now());
+        let text = String::from_utf8_lossy(&frame[1..]).into_owned();
+        let id = text.split(' ').next().unwrap_or_default();
+        let rest = format!("a{id} served 1 -\nvalue");
+        let mut answer = (rest.len() as u32).to_be_bytes().to_vec();
+        answer.extend_from_slice(rest.as_bytes());
+        if stream.write_all(&answer).is_err() {
+            return;
+        }
+    }
+}
+
+/// A client that asks one thing after the other on one connection.
+pub struct Client {
+    stream: BufReader<TcpStream>,
+    asked: u32,
+}
+
+impl Client {
+    /// Connects.
+    pub fn connect(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("a connection");
+        stream.set_nodelay(true).expect("a socket");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        Client { stream: BufReader::new(stream), asked: 0 }
+    }
+
+    /// Whether the program says that it is ready.
+    pub fn is_ready(&mut self) -> bool {
+        self.exchange("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n") == 200
+    }
+
+    /// Asks one part of the first shard; gives the answer's status.
+    pub fn query(&mut self) -> u16 {
+        self.asked += 1;
+        let body = r#"{"tablets":[{"tablet":0,"fraction":1}],"statement":"s"}"#;
+        let id = self.asked;
+        self.exchange(&format!(
+            "POST /slot HTTP/1.1\r\nHost: s\r\nX-Request-ID: q{id}\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 5000\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        ))
+    }
+
+    fn exchange(&mut self, request: &str) -> u16 {
+        self.stream.get_mut().write_all(request.as_bytes()).expect("it takes the request");
+        let mut line = String::new();
+        self.stream.read_line(&mut line).expect("an answer");
+        let status = line.split(' ').nth(1).and_then(|text| text.parse().ok()).expect("a status");
+        let mut length = 0;
+        loop {
+            line.clear();
+            self.stream.read_line(&mut line).expect("a header");
+            let Some((name, value)) = line.trim_end().split_once(':') else { break };
+            if name.eq_ignore_ascii_case("content-length") {
+                length = value.trim().parse().expect("a length");
+            }
+        }
+        self.stream.read_exact(&mut vec![0; length]).expect("a body");
+        status
+    }
+}
