Act on a list of servers only while discovery has confirmed it or is away

Now a lease (choices/list_lease.rs) does: 6 s from the last answer, running on from each failed call; a list from before the start holds only once confirmed, or 4 s and two failed calls later.

--- a/src/api.rs
+++ b/src/api.rs
@@ -299,6 +299,11 @@
     },
     /// Asking for the list failed, or the subscription broke.
     ListFailed,
+    /// The list may be acted on until then; before the first such event without end.
+    ListLease {
+        /// When nothing may be sent by it any more.
+        until: f64,
+    },
     /// A query was accepted.
     Query(NewQuery),
     /// One of its parts.
--- /dev/null
+++ b/src/choices/list_lease.rs
@@ -0,0 +1,203 @@
+//! How long the list of servers may be acted on: a lease that each answer of discovery renews.
+//!
+//! A list is true at the moment in which discovery writes it. A change that a mixer missed counts as told 6 s after
+//! discovery had it and could be reached; whatever the mixer sends to a server that drains or is gone from then on is
+//! wrong. So a list may be acted on for that time after it was confirmed. While calls fail, discovery counts as out of
+//! reach, and the lease runs on from the beginning of each such call; it ends where no call is made, in a process that
+//! stood still, or on a list that was there before the process. This file owns until when the lease runs and when a call
+//! has to be made for its sake. It must never make a call, never judge a server, and never read a clock.
+
+use miniserde::{Deserialize, Serialize};
+
+/// A change counts as told so long after discovery had it and could be reached (seconds).
+const LEASE_S: f64 = 6.0;
+/// A call is made so long before the end of a lease in use: it may take 2 s to fail, and begins at a periodic tick.
+const RENEW_BEFORE_S: f64 = 2.5;
+/// A list from before the start is acted on unconfirmed only after so many calls that failed, and so long after the start
+/// (seconds). Guards servers that were removed while the mixer was down against a call that failed by chance. A restarted
+/// mixer has to be ready within 6 s.
+const MIN_FAILED_CALLS: u32 = 2;
+const START_HOLD_S: f64 = 4.0;
+/// Two calls for the lease's sake begin at least so far apart (seconds). Guards discovery against a call for each request.
+const MIN_CALL_INTERVAL_S: f64 = 1.0;
+/// The lease has been used where a request came within this time (seconds).
+const IN_USE_S: f64 = 6.0;
+
+/// What the lease rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Basis {
+    /// There is no discovery: the list is what the operators gave.
+    NoDiscovery,
+    /// Nothing yet: the list is from before the start.
+    Unconfirmed,
+    /// Discovery confirmed the list.
+    Confirmed,
+    /// Discovery can't be reached.
+    Unreachable,
+}
+
+impl Basis {
+    /// The words by which it is shown.
+    pub fn label(self) -> &'static str {
+        match self {
+            Basis::NoDiscovery => "no discovery",
+            Basis::Unconfirmed => "not confirmed yet",
+            Basis::Confirmed => "confirmed by discovery",
+            Basis::Unreachable => "discovery can't be reached",
+        }
+    }
+}
+
+/// A lease as it is handed to the process that takes over, in ages: the two need not agree on a clock.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HandedLease {
+    /// Since the list was last known to be true (seconds).
+    pub confirmed_age_s: Option<f64>,
+    /// Since the last call began, where it failed (seconds).
+    pub failed_call_age_s: Option<f64>,
+    /// Since the start of the process (seconds).
+    pub began_age_s: f64,
+    /// Calls in a row that failed.
+    pub failed_calls: u32,
+}
+
+/// The lease on the list in use. Times are of the caller's clock (seconds).
+#[derive(Clone, Copy, Debug)]
+pub struct ListLease {
+    has_discovery: bool,
+    began_at: f64,
+    confirmed_at: Option<f64>,
+    /// When the last call began, where it failed.
+    failed_call_at: Option<f64>,
+    failed_calls: u32, // in a row
+    used_at: f64,
+    suspended_until: f64,
+}
+
+impl ListLease {
+    /// A lease on what was known before the start.
+    pub fn new(has_discovery: bool, now: f64) -> ListLease {
+        ListLease {
+            has_discovery,
+            began_at: now,
+            confirmed_at: None,
+            failed_call_at: None,
+            failed_calls: 0,
+            used_at: now,
+            suspended_until: f64::NEG_INFINITY,
+        }
+    }
+
+    /// There is a discovery from now on. Where there was none before, the list was true until now.
+    pub fn discovery_named(&mut self, now: f64) {
+        if !self.has_discovery {
+            (self.has_discovery, self.confirmed_at) = (true, Some(now));
+        }
+    }
+
+    /// The list was true at that time.
+    pub fn confirmed(&mut self, at: f64) {
+        self.confirmed_at = Some(self.confirmed_at.map_or(at, |before| before.max(at)));
+        (self.failed_call_at, self.failed_calls) = (None, 0);
+        self.suspended_until = f64::NEG_INFINITY;
+    }
+
+    /// A call that began at that time has failed.
+    pub fn call_failed(&mut self, began_at: f64) {
+        self.failed_call_at = Some(self.failed_call_at.map_or(began_at, |before| before.max(began_at)));
+        self.failed_calls = self.failed_calls.saturating_add(1);
+    }
+
+    /// No call can be answered before then, whatever discovery has: its list is longer than what is read.
+    pub fn calls_suspended(&mut self, until: f64) {
+        self.suspended_until = until;
+    }
+
+    /// For the process that takes over.
+    pub fn hand_over(&self, now: f64) -> HandedLease {
+        let age_s = |at: f64| (now - at).max(0.0);
+        HandedLease {
+            confirmed_age_s: self.confirmed_at.map(age_s),
+            failed_call_age_s: self.failed_call_at.map(age_s),
+            began_age_s: age_s(self.began_at),
+            failed_calls: self.failed_calls,
+        }
+    }
+
+    /// Takes over from the process before, whose list is in use here, or an older one than this.
+    pub fn inherit(&mut self, now: f64, handed: HandedLease) {
+        let at = |age_s: f64| now - age_s.max(0.0);
+        let later = |own: Option<f64>, handed: Option<f64>| own.into_iter().chain(handed).reduce(f64::max);
+        let confirmed_at = later(self.confirmed_at, handed.confirmed_age_s.map(at));
+        if self.confirmed_at.is_none() {
+            self.failed_call_at = later(self.failed_call_at, handed.failed_call_age_s.map(at));
+            self.failed_calls = self.failed_calls.saturating_add(handed.failed_calls);
+        }
+        self.confirmed_at = confirmed_at;
+        self.began_at = self.began_at.min(at(handed.began_age_s));
+    }
+
+    /// What is at stake: a request came that needs the list.
+    pub fn used(&mut self, now: f64) {
+        self.used_at = now;
+    }
+
+    /// Until when the list may be acted on, as things are now.
+    pub fn until(&self, now: f64) -> f64 {
+        if !self.has_discovery {
+            return f64::INFINITY;
+        }
+        let unreachable =
+            self.failed_call_at.filter(|_| self.confirmed_at.is_some() || self.is_hold_over(now));
+        let latest = self.confirmed_at.into_iter().chain(unreachable).fold(f64::NEG_INFINITY, f64::max);
+        let suspended = if latest.is_finite() { self.suspended_until } else { f64::NEG_INFINITY };
+        latest.max(suspended) + LEASE_S
+    }
+
+    /// Whether the list may be acted on now.
+    pub fn is_in_force(&self, now: f64) -> bool {
+        now < self.until(now)
+    }
+
+    /// What the lease rests on.
+    pub fn basis(&self) -> Basis {
+        match (self.has_discovery, self.failed_call_at, self.confirmed_at) {
+            (false, _, _) => Basis::NoDiscovery,
+            (true, Some(_), _) => Basis::Unreachable,
+            (true, None, Some(_)) => Basis::Confirmed,
+            (true, None, None) => Basis::Unconfirmed,
+        }
+    }
+
+    /// When it is to be looked at next for a call, if nothing happens before.
+    pub fn next_look_at(&self, now: f64) -> f64 {
+        let until = self.until(now);
+        let renew_at = if until.is_finite() { until - RENEW_BEFORE_S } else { self.hold_ends_at() };
+        renew_at.max(now + MIN_CALL_INTERVAL_S)
+    }
+
+    /// When the list was last known to be true.
+    pub fn confirmed_at(&self) -> Option<f64> {
+        self.confirmed_at
+    }
+
+    /// Whether a list from before the start may be acted on, since discovery can't be reached.
+    fn is_hold_over(&self, now: f64) -> bool {
+        self.failed_calls >= MIN_FAILED_CALLS && now >= self.hold_ends_at()
+    }
+
+    /// From when on a list from before the start may be acted on where calls fail.
+    pub fn hold_ends_at(&self) -> f64 {
+        self.began_at + START_HOLD_S
+    }
+
+    /// Whether a call should be made now, where none is in flight: a lease in use is about to end, or has ended.
+    pub fn needs_call(&self, now: f64) -> bool {
+        let is_in_use = now < self.used_at + IN_USE_S;
+        let is_spaced = self.failed_call_at.is_none_or(|at| now >= at + MIN_CALL_INTERVAL_S);
+        self.has_discovery && is_in_use && is_spaced && now + RENEW_BEFORE_S >= self.until(now)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/choices/list_lease/tests.rs
@@ -0,0 +1,161 @@
+//! Tests of list_lease.rs.
+
+use super::*;
+use crate::choices::watch_schedule::WatchSchedule;
+use oorandom::Rand64;
+
+const STARTED_AT: f64 = 100.0;
+
+fn lease() -> ListLease {
+    ListLease::new(true, STARTED_AT)
+}
+
+#[test]
+fn without_discovery_the_list_of_the_operators_holds() {
+    let lease = ListLease::new(false, STARTED_AT);
+    assert!(lease.is_in_force(STARTED_AT + 1e9) && !lease.needs_call(STARTED_AT + 1e9));
+}
+
+#[test]
+fn a_list_from_before_the_start_is_not_acted_on_until_it_is_confirmed() {
+    let mut lease = lease();
+    assert!(!lease.is_in_force(STARTED_AT) && !lease.is_in_force(STARTED_AT + 60.0));
+    lease.confirmed(STARTED_AT + 1.0);
+    assert!(lease.is_in_force(STARTED_AT + 1.0) && lease.is_in_force(STARTED_AT + 6.9));
+    assert!(!lease.is_in_force(STARTED_AT + 7.0), "what was missed counts as told");
+}
+
+/// One call that fails by chance is no proof that discovery is away; many that fail at once neither.
+#[test]
+fn a_list_from_before_the_start_is_acted_on_where_discovery_is_away() {
+    let mut lease = lease();
+    for place in 0..20 {
+        lease.call_failed(STARTED_AT + 0.01 * f64::from(place));
+    }
+    assert!(!lease.is_in_force(STARTED_AT + 3.9) && lease.is_in_force(STARTED_AT + 4.0));
+    let mut lease = self::lease();
+    lease.call_failed(STARTED_AT + 3.0);
+    assert!(!lease.is_in_force(STARTED_AT + 5.0), "one call");
+    lease.call_failed(STARTED_AT + 5.1);
+    assert!(lease.is_in_force(STARTED_AT + 5.2));
+    assert!(!lease.is_in_force(STARTED_AT + 11.2), "and nobody has asked since");
+}
+
+/// A process that stood still has made no call, and nobody has told it anything.
+#[test]
+fn it_ends_where_nothing_is_asked() {
+    let mut lease = lease();
+    lease.confirmed(STARTED_AT);
+    lease.call_failed(STARTED_AT + 4.0);
+    assert!(lease.is_in_force(STARTED_AT + 9.9) && !lease.is_in_force(STARTED_AT + 10.1));
+    lease.confirmed(STARTED_AT + 12.0);
+    assert!(lease.is_in_force(STARTED_AT + 12.0));
+}
+
+/// An answer that was read late says only what was true when it was written.
+#[test]
+fn an_older_confirmation_does_not_shorten_it() {
+    let mut lease = lease();
+    lease.confirmed(STARTED_AT + 5.0);
+    lease.confirmed(STARTED_AT + 2.0);
+    assert_eq!(lease.until(STARTED_AT + 5.0), STARTED_AT + 11.0);
+}
+
+/// A discovery that is named while the mixer runs: what the operators gave was true until then.
+#[test]
+fn a_discovery_that_is_named_later_begins_with_a_full_lease() {
+    let mut lease = ListLease::new(false, STARTED_AT);
+    lease.discovery_named(STARTED_AT + 50.0);
+    assert!(lease.is_in_force(STARTED_AT + 55.9) && !lease.is_in_force(STARTED_AT + 56.1));
+    lease.discovery_named(STARTED_AT + 100.0);
+    assert!(!lease.is_in_force(STARTED_AT + 100.0), "another discovery renews nothing");
+}
+
+/// While a list is too long to be read no call is made, and the last one stays in use, as the log says.
+#[test]
+fn a_list_that_cannot_be_read_suspends_the_calls() {
+    let mut lease = lease();
+    lease.calls_suspended(STARTED_AT + 60.0);
+    assert!(!lease.is_in_force(STARTED_AT), "it was never confirmed");
+    lease.confirmed(STARTED_AT);
+    lease.calls_suspended(STARTED_AT + 60.0);
+    assert!(lease.is_in_force(STARTED_AT + 65.0) && !lease.is_in_force(STARTED_AT + 66.0));
+}
+
+#[test]
+fn a_call_is_made_for_requests_alone_and_not_for_each() {
+    let mut lease = lease();
+    lease.confirmed(STARTED_AT);
+    assert!(!lease.needs_call(STARTED_AT + 3.0) && lease.needs_call(STARTED_AT + 3.6));
+    assert!(!lease.needs_call(STARTED_AT + 60.0), "nobody has asked anything for long");
+    lease.used(STARTED_AT + 60.0);
+    assert!(lease.needs_call(STARTED_AT + 60.0));
+    lease.call_failed(STARTED_AT + 60.0);
+    lease.used(STARTED_AT + 60.5);
+    assert!(!lease.needs_call(STARTED_AT + 60.5), "the lease runs on");
+}
+
+/// What becomes of a mixer's calls while discovery is away: they fail at once, or after 2 s.
+fn play_outage(outage_s: f64, call_takes_s: f64, seed: u64) -> (f64, f64) {
+    let (mut rng, mut lease) = (Rand64::new(u128::from(seed)), lease());
+    let mut schedule = WatchSchedule::new(300, 10.0, STARTED_AT);
+    schedule.list_received(STARTED_AT, 0.0);
+    assert!(schedule.take_due(STARTED_AT));
+    lease.confirmed(STARTED_AT);
+    let back_at = STARTED_AT + outage_s;
+    schedule.call_failed(STARTED_AT, rng.rand_float());
+    let (mut lapsed_s, mut call_out): (f64, Option<f64>) = (0.0, None);
+    for step in 0..((outage_s + 60.0) * 100.0) as u32 {
+        let now = STARTED_AT + f64::from(step) / 100.0;
+        lease.used(now);
+        if !lease.is_in_force(now) {
+            lapsed_s += 0.01;
+        }
+        match call_out {
+            Some(made_at) if made_at >= back_at => return (lapsed_s, now - back_at),
+            Some(made_at) if now >= made_at + call_takes_s => {
+                call_out = None;
+                lease.call_failed(made_at);
+                schedule.call_failed(now, rng.rand_float());
+            }
+            Some(_) => {}
+            None if schedule.take_due(now) || lease.needs_call(now) => call_out = Some(now),
+            None => {}
+        }
+    }
+    panic!("never told");
+}
+
+/// Outages of every length: a mixer with requests goes on to serve, and asks within the term in which a change counts as
+/// told once discovery can be reached. Without calls for the lease's sake 300 mixers asked up to 20 s late after 25 s.
+#[rstest::rstest]
+fn an_outage_of_any_length_neither_ends_the_service_nor_delays_news(
+    #[values(3.0, 25.0, 60.0, 300.0)] outage_s: f64,
+    #[values(0.01, 1.4, 2.0)] call_takes_s: f64,
+) {
+    for seed in 0..20 {
+        let (lapsed_s, told_after_s) = play_outage(outage_s, call_takes_s, seed);
+        assert!(lapsed_s < 0.005, "seed {seed}: not in force for {lapsed_s} s");
+        assert!(told_after_s < 6.0, "seed {seed}: told {told_after_s} s after its return");
+    }
+}
+
+/// A process that takes over knows what the one before knew, and not more.
+#[test]
+fn a_process_that_takes_over_inherits_the_lease() {
+    let mut before = lease();
+    before.confirmed(STARTED_AT + 100.0);
+    let handed = before.hand_over(STARTED_AT + 104.0);
+    let mut after = ListLease::new(true, 5.0); // by another clock
+    after.inherit(5.0, handed);
+    assert!(after.is_in_force(6.9) && !after.is_in_force(7.1));
+    after.confirmed(7.0);
+    after.inherit(7.0, handed);
+    assert!(after.is_in_force(12.9), "its own answer is newer");
+    let mut away = lease();
+    away.call_failed(STARTED_AT + 4.0);
+    away.call_failed(STARTED_AT + 6.0);
+    let mut after = ListLease::new(true, 5.0);
+    after.inherit(5.0, away.hand_over(STARTED_AT + 7.0));
+    assert!(after.is_in_force(5.0) && !after.is_in_force(10.1), "discovery could not be reached 1 s ago");
+}
--- a/src/choices/mod.rs
+++ b/src/choices/mod.rs
@@ -8,6 +8,7 @@
 pub mod heartbeat;
 pub mod idle;
 pub mod idle_loss;
+pub mod list_lease;
 pub mod phases;
 pub mod price;
 pub mod progress;
--- a/src/core.rs
+++ b/src/core.rs
@@ -91,6 +91,8 @@
     Overload,
     /// The mixer holds as much as it may.
     Held,
+    /// The list of replicas may not be acted on: discovery has not confirmed it for too long. Nothing harmful ran.
+    StaleList,
     /// Given up by the module; parts may have run.
     GivenUp,
     /// Its time ran out.
@@ -289,7 +291,8 @@
     queries: BTreeMap<QueryId, RequestKey>,
     ids: BTreeSet<String>, // of the requests that are held, by their clients' names
     parts: BTreeMap<PartId, PartState>,
-    held: usize, // queries and parts
+    held: usize,     // queries and parts
+    list_until: f64, // until when the list of replicas may be acted on
     last_id: u32,
     last_number: u32,
     events: VecDeque<Event>,
@@ -318,6 +321,7 @@
             ids: BTreeSet::new(),
             parts: BTreeMap::new(),
             held: 0,
+            list_until: f64::INFINITY,
             last_id: 0,
             last_number: 0,
             events: VecDeque::new(),
@@ -459,6 +463,12 @@
         self.feed(now, Event::Settings { settings, classes, tenants }, out);
     }
 
+    /// The list of replicas may be acted on until then.
+    pub fn list_lease(&mut self, now: f64, until: f64, out: &mut Vec<Command>) {
+        self.list_until = until;
+        self.feed(now, Event::ListLease { until }, out);
+    }
+
     /// Asking for the list failed, or the watch broke.
     pub fn list_failed(&mut self, now: f64, out: &mut Vec<Command>) {
         self.feed(now, Event::ListFailed, out);
@@ -759,7 +769,8 @@
         let last = if ran && !harmless {
             Final::Failed { why: Why::GivenUp, outcomes: request.outcomes.clone() }
         } else {
-            Final::Refused { why: Why::Overload, retry_after_s }
+            let why = if now < self.list_until { Why::Overload } else { Why::StaleList };
+            Final::Refused { why, retry_after_s }
         };
         self.finish(now, key, last, out);
     }
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -27,6 +27,7 @@
         match self {
             Why::Overload => "overload",
             Why::Held => "held",
+            Why::StaleList => "stale_list",
             Why::GivenUp => "given_up",
             Why::TimeUp => "time_up",
             Why::NotWhole => "not_whole",
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,6 +25,7 @@
 const KEPT_FOR_FAILURES: f64 = 0.5; // share of the attempt ration that lateness leaves for failures
 const SILENCE: f64 = 2.0; // overdue times without an answer that bar
 const PARTING: f64 = 0.85; // share of the drain grace in which last holders that drain are still used
+const HELD_UP_S: f64 = 0.2; // of the drain grace, what news and sends take that are held up on their way
 const CROSSING: f64 = 4.0; // mixers beyond which one is a small part of the load
 const COLD_MARGIN: f64 = 0.9; // share of what would push a cold replica over that we may give it
 const RATE_S: f64 = 8.0; // window over which the aggregator's own sending rate is taken (seconds)
@@ -42,6 +43,7 @@
     sweep_due: f64,
     sweep_s: f64, // a hundredth of the shortest aim, and never under a round
     replicas: BTreeMap<ReplicaId, Replica>,
+    list_until: f64,            // until when the list may be acted on
     cells: Vec<Vec<ReplicaId>>, // replicas by cell, how many there are, and what they take on average
     present: usize,
     pace: Pace,
@@ -72,6 +74,7 @@
             sweep_due: f64::INFINITY,
             sweep_s: settings.tick_s.max(shortest / 100.0),
             replicas: BTreeMap::new(),
+            list_until: f64::INFINITY,
             cells: Vec::new(),
             present: 1,
             pace: Pace::default(),
@@ -171,6 +174,7 @@
                     watch.call_failed(self.now, self.rng.rand_float());
                 }
             }
+            Event::ListLease { until } => self.list_until = until,
             Event::Query(query) => self.take_query(query, out),
             Event::Part(part) => self.take_part(part, out),
             Event::AttemptEnded(end) => self.attempt_ended(end, out),
@@ -518,14 +522,17 @@
 
     /// Replicas that hold a shard and that the rules let us send to now. Barred ones are left out, unless
     /// all are barred: a shard's last holders are never shut out. Where all drain, they are used while the
-    /// grace after being told lasts: guards against refusing what the next list may have a holder for.
+    /// grace after being told lasts: guards against refusing what the next list may have a holder for. There are
+    /// none by a list that may not be acted on any more.
     fn holders(&self, shard: u32, class: usize) -> impl Iterator<Item = &Replica> {
-        let ready =
-            |replica: &&Replica| replica.entry.lifecycle == Lifecycle::Ready && !self.too_cold(replica);
-        let grace = PARTING * self.cfg.drain_grace_s;
+        let in_force = self.now < self.list_until;
+        let ready = |replica: &&Replica| {
+            in_force && replica.entry.lifecycle == Lifecycle::Ready && !self.too_cold(replica)
+        };
+        let grace = (PARTING * self.cfg.drain_grace_s).min(self.cfg.drain_grace_s - HELD_UP_S);
         let parting = |replica: &&Replica| {
             let drains = replica.entry.lifecycle == Lifecycle::Draining;
-            drains && self.now < replica.known.told_at + grace && !self.too_cold(replica)
+            in_force && drains && self.now < replica.known.told_at + grace && !self.too_cold(replica)
         };
         let mut held: Vec<_> = self.all_holders(shard).filter(ready).collect();
         if held.is_empty() {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -439,6 +439,7 @@
         if client.ended || matches!(client.stream.peek(&mut [0]), Ok(0)) {
             return self.close_client(key, CloseReason::ClientClosed);
         }
+        self.list_needed();
         let request = self.core.take(self.now, asked, key.data().as_ffi(), &mut self.commands);
         if let Some(Conn::Client(client)) = self.conns.get_mut(key) {
             (client.state, client.since, client.context) = (ClientState::Pending(request), self.now, context);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -32,7 +32,7 @@
 /// An answer of discovery that brings nothing new within this time did not wait; the next call does (seconds).
 const SOON_S: f64 = 0.1;
 /// Deadlines are kept in steps: one that is so near has come (seconds).
-const TIMER_STEP_S: f64 = 1e-4;
+pub(super) const TIMER_STEP_S: f64 = 1e-4;
 /// Longest list that is read: this share of the memory in the settings, for its text is held beside what is read from it;
 /// at least enough for 10,000 replicas with indented lines of 220 bytes, twice as many fit, and at most so much.
 const MEMORY_SHARE: usize = 16;
@@ -86,11 +86,12 @@
 
 /// A call that is out on a connection.
 #[derive(Clone, Copy, Debug)]
-struct OpenCall {
+pub(super) struct OpenCall {
     call: Call,
     /// The version that we had then.
     known: Option<u64>,
-    made_at: f64,
+    /// When it was made.
+    pub(super) made_at: f64,
     timeout_s: f64,
 }
 
@@ -115,6 +116,17 @@
     Failed(DiscoveryError),
 }
 
+/// What an answer says of the list in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListAnswer {
+    /// It was of another version, and now is of this.
+    News,
+    /// It is true.
+    Same,
+    /// Nothing: the answer is older than the list.
+    Stale,
+}
+
 /// Why a call to discovery failed.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum DiscoveryError {
@@ -252,7 +264,7 @@
     }
 
     /// The connections that there are.
-    fn connections(&self) -> impl Iterator<Item = ConnKey> {
+    pub(super) fn connections(&self) -> impl Iterator<Item = ConnKey> {
         self.watch.into_iter().chain(self.heartbeat_conn)
     }
 
@@ -353,6 +365,13 @@
         self.timers.add(next_at, Deadline::Heartbeat);
     }
 
+    /// A call that need not wait, on the connection of the watch or on a new one.
+    fn call_for_changes(&mut self, key: ConnKey) {
+        let Some(since) = self.revision.filter(|_| self.link.watch == Some(key)) else { return self.ask() };
+        let call = Call::Changes { since };
+        self.make_call(key, call, self.link.open_timeout_s(call));
+    }
+
     /// A new connection to discovery.
     fn open_discovery(&mut self, role: Role) -> Option<ConnKey> {
         let address = self.discovery?;
@@ -368,7 +387,7 @@
                 Some(key)
             }
             Err(error) => {
-                self.call_failed(role, &error.into());
+                self.call_failed(role, &error.into(), None);
                 None
             }
         }
@@ -408,6 +427,11 @@
         self.make_call(key, Call::Changes { since }, self.link.heartbeat.patience_s());
     }
 
+    /// Whether any call is out.
+    pub(super) fn is_call_out(&self) -> bool {
+        self.link.connections().any(|key| self.call_on(Some(key)).is_some())
+    }
+
     fn is_watch_open(&self) -> bool {
         self.call_on(self.link.watch).is_some_and(|open| open.call.waits())
     }
@@ -453,10 +477,14 @@
         let Some(open) = open_call else {
             return self.end_discovery(key, &DiscoveryError::NoAnswer);
         };
-        let news = match self.read_answer(open, message) {
-            Ok(news) => news,
+        let answer = match self.read_answer(open, message) {
+            Ok(answer) => answer,
             Err(error) => return self.end_discovery(key, &error),
         };
+        if answer != ListAnswer::Stale {
+            self.list_confirmed(open);
+        }
+        let news = answer == ListAnswer::News;
         self.link.oversize.succeeded();
         if message.keep_alive {
             self.rest(key);
@@ -478,11 +506,11 @@
 
     /// Takes what an answer brings; says whether that was a version that we did not have. An answer that looks like the
     /// one before brings nothing, and is not read again: some answer whole lists to all calls.
-    fn read_answer(&mut self, open: OpenCall, message: &Message) -> Result<bool, DiscoveryError> {
+    fn read_answer(&mut self, open: OpenCall, message: &Message) -> Result<ListAnswer, DiscoveryError> {
         let hash = hash_of(&message.body);
         let is_ok = message.start == (Start::Response { status: 200 });
         if is_ok && self.revision.is_some() && self.link.last_answer == Some(hash) {
-            return Ok(false);
+            return Ok(ListAnswer::Same);
         }
         let list = decode(message)?;
         let (before, told) = (self.revision, members::revision(&list));
@@ -493,14 +521,13 @@
             self.log(&format!(
                 "discovery: an answer of revision {told:?} is older than {before:?} and not taken"
             ));
+            return Ok(ListAnswer::Stale);
         }
-        if !is_stale && !self.take_list(&list) {
+        if !self.take_list(&list) {
             return Err(DiscoveryError::NoMembers);
         }
-        if !is_stale {
-            self.link.last_answer = Some(hash);
-        }
-        Ok(has_news && !is_stale)
+        self.link.last_answer = Some(hash);
+        Ok(if has_news { ListAnswer::News } else { ListAnswer::Same })
     }
 
     fn watch_answered(&mut self, key: ConnKey, open: OpenCall, news: bool) {
@@ -525,6 +552,9 @@
             self.timers.add(self.now + ASK_AGAIN_S, Deadline::Ask);
         } else if did_not_wait {
             self.timers.add(self.now + SOON_S, Deadline::Ask);
+        } else if !self.lease.is_in_force(self.now) {
+            // The answer came long ago, and was read only now: what it says may be outdated.
+            self.call_for_changes(key);
         } else if !open.call.waits() && self.put_watch_off() {
             // The heartbeats go on without it.
         } else if self.link.watch == Some(key) {
@@ -584,19 +614,26 @@
     /// A connection is of no use any more. One that rested is no call that failed.
     fn end_discovery(&mut self, key: ConnKey, why: &DiscoveryError) {
         let Some(Conn::Discovery(conn)) = self.conns.get(key) else { return };
-        let (role, rested) = (conn.role, conn.open_call.is_none());
+        let (role, open_call) = (conn.role, conn.open_call);
         self.drop_conn(key);
-        if role == Role::Watch || !rested {
-            self.call_failed(role, why);
+        if role == Role::Watch || open_call.is_some() {
+            self.call_failed(role, why, open_call.map(|open| open.made_at));
         }
     }
 
-    fn call_failed(&mut self, role: Role, why: &DiscoveryError) {
+    fn call_failed(&mut self, role: Role, why: &DiscoveryError, made_at: Option<f64>) {
         let mut line = format!("discovery: call failed ({why})");
         if matches!(why, DiscoveryError::ListTooLarge { .. }) {
             line += &format!("; not asked again for {} s", self.link.oversize.failed(self.now));
+        } else if let Some(made_at) = made_at {
+            line += &format!(" after {:.3} s", self.now - made_at);
         }
         self.log(&line);
+        self.lease.call_failed(made_at.unwrap_or(self.now));
+        if let Some(until) = self.link.oversize.blocked_until(self.now) {
+            self.lease.calls_suspended(until);
+        }
+        self.publish_lease();
         self.link.refuses_changes |= matches!(why, DiscoveryError::Status(400..=499));
         match role {
             Role::Watch => self.watch_failed(),
@@ -655,8 +692,13 @@
         self.ready_if_told();
     }
 
+    /// Whether there is a server to which something may be sent, by a list that may be acted on.
+    pub(super) fn can_serve(&self) -> bool {
+        self.directory.has_ready() && self.lease.is_in_force(self.now)
+    }
+
     pub(super) fn ready_if_told(&mut self) {
-        if self.phase == Phase::Starting && self.directory.has_ready() {
+        if self.phase == Phase::Starting && self.can_serve() {
             self.phase = Phase::Serving;
             self.log("ready: serving");
         }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -8,7 +8,7 @@
 
 use super::{Deadline, Mixer, NetError, Phase, LISTENERS};
 use crate::api::{Beliefs, Elsewhere, ReplicaId};
-use crate::choices::{connections, phases::Learned};
+use crate::choices::{connections, list_lease::HandedLease, phases::Learned};
 use crate::core::{Load, Style};
 use miniserde::{json, Deserialize, Serialize};
 use mio::net::{TcpListener, UnixListener, UnixStream};
@@ -148,6 +148,7 @@
     names: Vec<(u32, String)>,
     classes: Vec<String>,
     tenants: Vec<String>,
+    lease: Option<HandedLease>, // on the list; older versions tell none
     beliefs: Beliefs,
     load: LoadJson,
     phases: Option<Vec<Learned>>,
@@ -249,6 +250,10 @@
                 self.revision = None;
             }
         }
+        if let Some(lease) = state.lease {
+            self.lease.inherit(self.now, lease);
+            self.publish_lease();
+        }
         let names: BTreeMap<u32, String> = state.names.into_iter().collect();
         let mut beliefs = state.beliefs;
         let known = std::mem::take(&mut beliefs.replicas).into_iter();
@@ -347,6 +352,7 @@
             phases: Some(self.core.phases_learned()),
             tenants: self.deployment.tenants.clone(),
             beliefs,
+            lease: Some(self.lease.hand_over(self.now)),
             load: self.load(),
         };
         let text = format!("state {}\n", json::to_string(&state));
--- a/src/net/handover/tests.rs
+++ b/src/net/handover/tests.rs
@@ -34,6 +34,7 @@
     let list = directory.read(&json::from_str(&list).unwrap()).unwrap();
     core.list(1764633600.123456, true, list.entries, &mut Vec::new());
     let state = StateJson {
+        lease: None,
         discovery: None,
         list: directory.text(Some(1)),
         names: directory.ids().map(|(name, id)| (id.0, name.clone())).collect(),
--- /dev/null
+++ b/src/net/lease.rs
@@ -0,0 +1,87 @@
+//! The lease on the list of servers in the loop: what renews it, and who learns of it.
+//!
+//! This file leads what became of calls to discovery to `choices/list_lease.rs`, and its word to the decision module and
+//! to the phase of the program. It must never take a list, and never send anything to a server.
+
+use super::discovery::{OpenCall, TIMER_STEP_S};
+use super::{Deadline, Mixer};
+use crate::choices::list_lease::Basis;
+use mio::{Events, Token};
+
+/// A loop that was away from its poll for so long asks for discovery's news before it handles anything else (seconds).
+const HELD_UP_S: f64 = 0.05;
+
+impl Mixer {
+    /// Takes what discovery has said before anything that clients bring: it counts as told from the moment it was written,
+    /// also where the loop was held up and a request came first. Gives whose events have been handled.
+    pub(super) fn hear_discovery(&mut self, events: &Events) -> Vec<Token> {
+        let was_held_up = self.now > self.previous_turn_at + HELD_UP_S;
+        let mut heard = Vec::new();
+        for key in self.link.connections().collect::<Vec<_>>() {
+            let token = super::token(key);
+            let has_event = events.iter().any(|event| event.token() == token);
+            if was_held_up || has_event {
+                self.discovery_event(key);
+                self.settle();
+                heard.push(token);
+            }
+        }
+        heard
+    }
+
+    /// An answer to that call says that the list in use is true. It was written after the call was made, and after the
+    /// loop last looked.
+    pub(super) fn list_confirmed(&mut self, open: OpenCall) {
+        self.lease.confirmed(open.made_at.max(self.previous_turn_at));
+        self.publish_lease();
+    }
+
+    /// Tells the decision module until when the list may be acted on, and the log where that has changed.
+    pub(super) fn publish_lease(&mut self) {
+        let until = self.lease.until(self.now);
+        self.core.list_lease(self.now, until, &mut self.commands);
+        self.log_lease();
+        self.ready_if_told();
+        let next_at = self.lease.next_look_at(self.now);
+        if self.lease.basis() != Basis::NoDiscovery && next_at != self.lease_due_at {
+            self.lease_due_at = next_at;
+            self.timers.add(next_at, Deadline::ListLease);
+        }
+    }
+
+    fn log_lease(&mut self) {
+        let state = (self.lease.basis(), self.lease.is_in_force(self.now));
+        if state == self.lease_logged {
+            return;
+        }
+        self.lease_logged = state;
+        let age = match self.lease.confirmed_at() {
+            Some(at) => format!("confirmed {:.3} s ago", self.now - at),
+            None => "never confirmed".to_string(),
+        };
+        let (basis, revision) = (state.0.label(), self.revision);
+        let verb = if state.1 { "in force" } else { "not in force, nothing is sent by it" };
+        self.log(&format!("list: {verb} ({basis}), revision {revision:?}, {age}"));
+    }
+
+    /// The lease has to be looked at: it is about to end, or has ended.
+    pub(super) fn lease_due(&mut self) {
+        if self.now + TIMER_STEP_S < self.lease_due_at {
+            return; // it was put off
+        }
+        self.renew_lease();
+        self.publish_lease();
+    }
+
+    /// A request needs the list.
+    pub(super) fn list_needed(&mut self) {
+        self.lease.used(self.now);
+        self.renew_lease();
+    }
+
+    fn renew_lease(&mut self) {
+        if self.lease.needs_call(self.now) && !self.is_call_out() {
+            self.ask();
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod handover;
 pub mod http;
 pub mod leaf;
+mod lease;
 mod logging;
 pub mod opensearch;
 pub mod operator;
@@ -22,6 +23,7 @@
 mod timer_queue;
 
 use crate::choices::connections;
+use crate::choices::list_lease::{Basis, ListLease};
 use crate::core::{AttemptKey, Command, Core, Style};
 pub use crate::members::ConnKey;
 use crate::members::Directory;
@@ -127,6 +129,10 @@
     link: DiscoveryLink,
     rng: oorandom::Rand64, // for jitter that keeps a fleet out of step
     revision: Option<u64>,
+    lease: ListLease,            // on the list in use
+    lease_logged: (Basis, bool), // and whether it was in force
+    lease_due_at: f64,           // when it is looked at next
+    previous_turn_at: f64,
     /// Whether it goes over to another discovery: the old list holds until the new one has told its own.
     going_over: bool,
     phase: Phase,
@@ -213,6 +219,10 @@
             link,
             rng,
             revision: None,
+            lease: ListLease::new(options.discovery.is_some(), now),
+            lease_logged: (Basis::NoDiscovery, true),
+            lease_due_at: f64::NAN,
+            previous_turn_at: now,
             going_over: false,
             phase: Phase::Starting,
             sweep_at: 0.0,
@@ -259,6 +269,7 @@
         if let Some((listener, path)) = inherited {
             mixer.set_up_handover(listener, path)?;
         }
+        mixer.publish_lease();
         if !mixer.deployment.policy.must_ask {
             mixer.ask();
         }
@@ -281,7 +292,8 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 result => result?,
             }
-            self.now = self.clock.now();
+            let previous_turn_at = std::mem::replace(&mut self.now, self.clock.now());
+            self.previous_turn_at = previous_turn_at;
             // Operators come first: what clients bring must not keep their replies waiting.
             for event in &events {
                 match event.token() {
@@ -289,6 +301,7 @@
                     Token(key) => self.caller_event(ConnKey::from(KeyData::from_ffi(key as u64))),
                 }
             }
+            let heard = self.hear_discovery(&events);
             for event in &events {
                 match event.token() {
                     Token(style) if style < STYLES.len() => self.accept(STYLES[style]),
@@ -300,6 +313,7 @@
                     handover::MEETING => self.meeting_event(),
                     handover::PREDECESSOR => self.link_event(handover::Side::Predecessor),
                     handover::SUCCESSOR => self.link_event(handover::Side::Successor),
+                    token if heard.contains(&token) => {}
                     Token(key) => {
                         let key = ConnKey::from(KeyData::from_ffi(key as u64));
                         let gone = event.is_error() || (event.is_read_closed() && event.is_write_closed());
@@ -360,6 +374,7 @@
             Deadline::Accept => STYLES.into_iter().for_each(|style| self.accept(style)),
             Deadline::Ask => self.ask(),
             Deadline::Heartbeat => self.heartbeat_due(),
+            Deadline::ListLease => self.lease_due(),
             Deadline::Settings => self.take_settings(),
             Deadline::Listen => self.open_listeners(),
             Deadline::Vrrp => self.vrrp_take(crate::vrrp::Event::Timer),
--- a/src/net/phase.rs
+++ b/src/net/phase.rs
@@ -94,7 +94,7 @@
         if self.phase != Phase::Paused {
             return;
         }
-        self.phase = if self.directory.has_ready() { Phase::Serving } else { Phase::Starting };
+        self.phase = if self.can_serve() { Phase::Serving } else { Phase::Starting };
         self.parting_at = f64::MAX;
         self.log("resume: back to work");
         self.vrrp_take(crate::vrrp::Event::Startup);
--- a/src/net/timer_queue.rs
+++ b/src/net/timer_queue.rs
@@ -17,6 +17,7 @@
     Handover,
     Ask,
     Heartbeat,
+    ListLease,
     Phase,
     Settings,
     Listen,
