Guard every send, repeat, close and start in one place, and count violations

It is asked before the first byte of each call (flush_leaf), before each further attempt (Core::send), at each close of a client's connection, each final answer, and before the program becomes ready; a call that left is judged again by the time after its write. The page shows svc_guard_stops_total and svc_violations_total. Calls that wait in a full socket tell what is left of their wait, and one that is stuck half-way for a client that left ends its connection.

--- a/src/core.rs
+++ b/src/core.rs
@@ -10,6 +10,7 @@
 use crate::api::*;
 use crate::choices::phases::{Learned, Phases};
 use crate::figures::{count, ClassFigures, Figures};
+use crate::guard::{Guard, Repeat};
 use crate::settings::Deployment;
 use crate::Aggregator;
 use slotmap::SlotMap;
@@ -142,6 +143,8 @@
     pub place: usize,
     /// How long the mixer will wait for it (seconds).
     pub wait_s: f64,
+    /// Until when its client waits.
+    pub client_until: f64,
     /// Whether it only asks ahead.
     pub ahead: bool,
     /// It must have begun to leave by then: a repeat in a class whose repeats are dropped for a while only. Without end
@@ -291,6 +294,7 @@
     queries: BTreeMap<QueryId, RequestKey>,
     ids: BTreeSet<String>, // of the requests that are held, by their clients' names
     parts: BTreeMap<PartId, PartState>,
+    guard: Guard,
     held: usize,     // queries and parts
     list_until: f64, // until when the list of replicas may be acted on
     last_id: u32,
@@ -320,6 +324,7 @@
             queries: BTreeMap::new(),
             ids: BTreeSet::new(),
             parts: BTreeMap::new(),
+            guard: Guard::default(),
             held: 0,
             list_until: f64::INFINITY,
             last_id: 0,
@@ -422,6 +427,22 @@
         self.requests.get(key).map(|request| request.asked.id.as_str())
     }
 
+    /// Whether an attempt is in flight for a request that has no final answer yet.
+    pub fn is_wanted(&self, key: AttemptKey) -> bool {
+        let part = self.attempts.get(key).and_then(|attempt| self.parts.get(&attempt.part));
+        part.is_some_and(|part| part.request.is_some())
+    }
+
+    /// The guard of what must always hold, and its counts.
+    pub fn guard(&self) -> &Guard {
+        &self.guard
+    }
+
+    /// The same, for the acts of others than the core.
+    pub fn guard_mut(&mut self) -> &mut Guard {
+        &mut self.guard
+    }
+
     /// Requests that have no final answer yet.
     pub fn open(&self) -> usize {
         self.requests.len()
@@ -668,8 +689,18 @@
         let Some(part) = self.parts.get_mut(&id) else { return };
         let number = part.attempts.len() as u8;
         let request = part.request.and_then(|key| self.requests.get(key));
-        let allowed = usize::from(number) < self.deployment.policy.max_attempts.min(255) as usize;
-        let Some(request) = request.filter(|_| allowed) else {
+        let within_limit = usize::from(number) < self.deployment.policy.max_attempts.min(255) as usize;
+        let may_leave = |request: &&Request| {
+            let repeat = Repeat {
+                effect: request.rules.effect,
+                may_have_run_since: part.ran.first().map(|(_, sent_at)| *sent_at),
+                window_s: request.rules.keyed_span_s,
+                in_flight: part.attempts.iter().flatten().count(),
+                copies_allowed: self.deployment.policy.second_copies,
+            };
+            within_limit && (number == 0 || self.guard.check_repeat(now, &repeat).is_ok())
+        };
+        let Some(request) = request.filter(may_leave) else {
             // Nothing leaves for a part that is over or has used up its attempts.
             part.attempts.push(None);
             let (attempt, outcome) = (number, Outcome::Moot);
@@ -697,7 +728,8 @@
         }
         out.push(Command::WakeAt { at: now + wait_s, wake: Wake::Attempt(key) });
         let (asked, place) = (request.asked.clone(), part.place);
-        let sent = CallPart { attempt: key, asked, place, wait_s, ahead, leave_by };
+        let client_until = request.taken_at + asked.wait_s;
+        let sent = CallPart { attempt: key, asked, place, wait_s, client_until, ahead, leave_by };
         let place = *self.calls_to.entry(replica).or_insert(self.calls.len());
         if place == self.calls.len() {
             self.calls.push((replica, Vec::new()));
@@ -780,6 +812,12 @@
         let Some(request) = self.forget(key) else { return };
         self.unsend(now, &request, out);
         let took_s = now - request.taken_at;
+        if let Err(rule) = self.guard.verify_answer(now, request.taken_at + request.asked.wait_s) {
+            let (id, rule) = (&request.asked.id, rule.label());
+            out.push(Command::Log(format!(
+                "guard: VIOLATION {rule}: request {id} is answered after {took_s:.3} s"
+            )));
+        }
         let aim_s = request.rules.aim_s;
         let reasons = &mut self.figures[request.asked.style as usize];
         match &last {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod choices;
 pub mod core;
 pub mod figures;
+pub mod guard;
 mod held;
 mod logic;
 pub mod members;
--- a/src/members.rs
+++ b/src/members.rs
@@ -5,6 +5,7 @@
 //! the others count.
 
 use crate::api::{Lifecycle, ReplicaEntry, ReplicaId};
+use crate::guard::ServerState;
 use miniserde::json::{self, Number, Object, Value};
 use miniserde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -41,6 +42,8 @@
     pub ready: bool,
     /// The load report that came last, as the replica words it.
     pub load: Option<String>,
+    /// Since when nothing new may go there.
+    unready_since: Option<f64>,
     /// What the list last said of it.
     listed: Option<ReplicaEntry>,
     /// The connections to it.
@@ -48,6 +51,15 @@
 }
 
 impl Member {
+    /// What holds of it for whoever would send something there.
+    pub fn state(&self) -> ServerState {
+        match self.unready_since {
+            _ if self.gone() => ServerState::Gone,
+            _ if self.ready => ServerState::Ready,
+            since => ServerState::Draining { since: since.unwrap_or(f64::NEG_INFINITY) },
+        }
+    }
+
     /// Whether no list names it any more.
     pub fn gone(&self) -> bool {
         self.listed.is_none_or(|entry| entry.lifecycle == Lifecycle::Gone)
@@ -223,9 +235,19 @@
         }
     }
 
+    /// What the last list or the operator's marks took out of use is so since that time.
+    pub fn date_unready(&mut self, since: f64) {
+        for id in &self.unready {
+            if let Some(member) = self.members.get_mut(id) {
+                member.unready_since.get_or_insert(since);
+            }
+        }
+    }
+
     /// Brings the indexes in line with what is known of a replica now.
     fn index(&mut self, id: ReplicaId) {
-        let Some(member) = self.members.get(&id) else { return };
+        let Some(member) = self.members.get_mut(&id) else { return };
+        member.unready_since = member.unready_since.filter(|_| !member.ready);
         for (index, belongs) in [(&mut self.unready, !member.ready), (&mut self.gone, member.gone())] {
             if belongs {
                 index.insert(id);
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -8,6 +8,7 @@
 use super::{opensearch, platform, Conn, ConnKey, Deadline, Mixer, ACCEPT_AGAIN_S};
 use crate::core::{Asked, Final, RequestKey, Style};
 use crate::figures::count;
+use crate::guard::Rule;
 use crate::store::MAX_VALUE_BYTES;
 use mio::net::TcpStream;
 use slotmap::Key;
@@ -548,6 +549,18 @@
     /// The one place where a client's connection ends by our doing or is found to be over.
     fn close_client(&mut self, key: ConnKey, reason: CloseReason) {
         count(&mut self.closed_clients, reason);
+        let Some(Conn::Client(client)) = self.conns.get(key) else { return };
+        let is_held = matches!(client.state, ClientState::Pending(_) | ClientState::Waiting);
+        let has_left = matches!(reason, CloseReason::ClientClosed | CloseReason::ReadFailed);
+        if is_held && !has_left {
+            let rule = Rule::Unanswered;
+            self.core.guard_mut().violated(rule);
+            self.log(&format!(
+                "guard: VIOLATION {}: closed as {} over a request",
+                rule.label(),
+                reason.label()
+            ));
+        }
         self.drop_conn(key);
     }
 
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -7,6 +7,7 @@
 use super::{http, token, Conn, ConnKey, Deadline, Mixer, NetError, Phase, ADMIN, STYLES};
 use crate::core::Style;
 use crate::figures::Figures;
+use crate::guard::Rule;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry};
 use std::fmt::Write as _;
@@ -296,6 +297,10 @@
         for (before, count) in &figures.repeats {
             line("repeats", "after", before.map_or("in_flight", |outcome| outcome.label()), *count);
         }
+        for rule in Rule::ALL {
+            line("violations", "rule", rule.label(), self.core.guard().violations(rule));
+            line("guard_stops", "rule", rule.label(), self.core.guard().stopped(rule));
+        }
         for (reason, count) in &self.closed_clients {
             line("clients_closed", "reason", reason.label(), *count);
         }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -673,6 +673,7 @@
     /// Tells the core of replicas, and withdraws what must not leave any more.
     pub(super) fn take_entries(&mut self, full: bool, entries: Vec<ReplicaEntry>) {
         self.core.list(self.now, full, entries, &mut self.commands);
+        self.directory.date_unready(self.previous_turn_at);
         // Nothing new may go to what drains or is gone, not even what still waits for its connection.
         let unready = self.directory.unready();
         let unready: Vec<(ConnKey, bool)> =
@@ -692,13 +693,9 @@
         self.ready_if_told();
     }
 
-    /// Whether there is a server to which something may be sent, by a list that may be acted on.
-    pub(super) fn can_serve(&self) -> bool {
-        self.directory.has_ready() && self.lease.is_in_force(self.now)
-    }
-
     pub(super) fn ready_if_told(&mut self) {
-        if self.phase == Phase::Starting && self.can_serve() {
+        let is_due = self.phase == Phase::Starting && self.directory.has_ready();
+        if is_due && self.lease.is_in_force(self.now) && self.may_serve() {
             self.phase = Phase::Serving;
             self.log("ready: serving");
         }
--- a/src/net/leaf.rs
+++ b/src/net/leaf.rs
@@ -9,6 +9,7 @@
 use super::opensearch;
 use crate::api::{Outcome, ReplicaId};
 use crate::core::{AttemptKey, CallPart, Style};
+use crate::guard::CallTimes;
 use crate::members::Speech;
 use mio::net::TcpStream;
 use std::collections::VecDeque;
@@ -22,6 +23,8 @@
 const FRAME_MOST: usize = 66 * 1024;
 /// An answer that has begun is whole after this time, or it is taken for one that never ends (seconds).
 const ANSWER_S: f64 = 0.25;
+/// A call that has waited for less than this tells its wait as it was (seconds).
+const WAIT_STEP_S: f64 = 0.02;
 /// Parts that are remembered once they are over, so that a late or second answer is known for one.
 const RECENT_MOST: usize = 64;
 /// Longest load report that is kept.
@@ -59,6 +62,17 @@
         self.parts.iter().any(|(part, _)| part.attempt == attempt)
     }
 
+    /// What the guard has to know of it.
+    fn times(&self) -> CallTimes {
+        let parts = || self.parts.iter().map(|(part, _)| part);
+        let beyond_s = |part: &CallPart| self.told_at + part.wait_s - part.client_until;
+        CallTimes {
+            leave_by: self.leave_by,
+            told_beyond_client_s: parts().map(beyond_s).fold(f64::NEG_INFINITY, f64::max),
+            client_until: parts().map(|part| part.client_until).fold(f64::NEG_INFINITY, f64::max),
+        }
+    }
+
     /// Takes a part out of a call of several that has not begun to leave. Gives how many bytes that were.
     fn cut(&mut self, attempt: AttemptKey) -> usize {
         let Some(place) = self.parts.iter().position(|(part, _)| part.attempt == attempt) else { return 0 };
@@ -102,6 +116,8 @@
     pub load: Option<String>,
     /// Attempts written whole and not counted yet, by the style of their requests.
     pub written: [u64; 2],
+    /// Calls that have begun to leave and were not judged yet.
+    pub begun_calls: Vec<CallTimes>,
     speech: Speech,
     shards: u32,
     waiting_most: usize,
@@ -234,6 +250,7 @@
             used_at: now,
             load: None,
             written: [0; 2],
+            begun_calls: Vec::new(),
             speech,
             shards,
             waiting_most,
@@ -334,15 +351,20 @@
         }
     }
 
-    /// The connection has come up: calls that waited for it tell what is left of their waits.
+    /// The connection has come up.
     pub fn come_up(&mut self, now: f64) {
         self.up = true;
+        self.refresh_waits(now);
+    }
+
+    /// Calls that have waited to leave, for the connection or for room in its socket, tell what is left of their waits.
+    pub fn refresh_waits(&mut self, now: f64) {
         for place in 0..self.frames.len() {
             let frame = &self.frames[place];
-            if frame.begun || frame.parts.is_empty() {
+            let waited_s = (now - frame.told_at).max(0.0);
+            if frame.begun || frame.parts.is_empty() || waited_s < WAIT_STEP_S {
                 continue;
             }
-            let waited_s = (now - frame.told_at).max(0.0);
             let parts = frame.parts.iter().map(|(part, _)| part.clone());
             let parts: Vec<CallPart> =
                 parts.map(|part| CallPart { wait_s: part.wait_s - waited_s, ..part }).collect();
@@ -434,6 +456,15 @@
         true
     }
 
+    /// Drops the first call.
+    fn withdraw_front(&mut self) -> Vec<AttemptKey> {
+        let Some(frame) = self.frames.pop_front() else { return Vec::new() };
+        self.waiting -= frame.bytes.len();
+        let attempts: Vec<AttemptKey> = frame.parts.iter().map(|(part, _)| part.attempt).collect();
+        self.streams.retain(|stream| stream.attempt.is_none_or(|attempt| !attempts.contains(&attempt)));
+        attempts
+    }
+
     /// Drops every call that has not begun to leave: the replica must get nothing new. Gives the attempts.
     pub fn withdraw(&mut self) -> Vec<AttemptKey> {
         self.withdraw_where(|_| true)
@@ -467,13 +498,36 @@
         withdrawn
     }
 
-    /// Writes what the socket takes.
-    pub fn flush(&mut self) -> io::Result<()> {
+    /// Attempts whose calls have not begun to leave.
+    pub fn waiting_attempts(&self) -> Vec<AttemptKey> {
+        let waiting = self.frames.iter().filter(|frame| !frame.begun);
+        waiting.flat_map(|frame| frame.parts.iter().map(|(part, _)| part.attempt)).collect()
+    }
+
+    /// Attempts of the call that has begun to leave and is stuck half-way, if one is.
+    pub fn stuck_attempts(&self) -> Vec<AttemptKey> {
+        let stuck = self.frames.front().filter(|frame| frame.begun);
+        stuck.into_iter().flat_map(|frame| frame.parts.iter().map(|(part, _)| part.attempt)).collect()
+    }
+
+    /// Writes what the socket takes. `may_begin` is asked before the first byte of each call leaves; a call that may not
+    /// is withdrawn, and its attempts are given.
+    pub fn flush(
+        &mut self,
+        mut may_begin: impl FnMut(&CallTimes) -> bool,
+        withdrawn: &mut Vec<AttemptKey>,
+    ) -> io::Result<()> {
         while let Some(frame) = self.frames.front_mut().filter(|_| self.up) {
+            let begins = (!frame.begun && !frame.parts.is_empty()).then(|| frame.times());
+            if begins.as_ref().is_some_and(|call| !may_begin(call)) {
+                withdrawn.extend(self.withdraw_front());
+                continue;
+            }
             match self.stream.write(&frame.bytes[self.sent..]) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(count) => {
                     frame.begun = true;
+                    self.begun_calls.extend(begins);
                     (self.sent, self.waiting) = (self.sent + count, self.waiting - count);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
--- a/src/net/phase.rs
+++ b/src/net/phase.rs
@@ -5,6 +5,7 @@
 
 use super::clients::ClientState;
 use super::{Conn, Deadline, Mixer, STYLES};
+use crate::guard::Rule;
 use std::io::Read;
 
 /// What exits must wait for a last answer to be read, at most (seconds).
@@ -52,6 +53,12 @@
         self.now >= self.parting_at || self.clients > self.crowd
     }
 
+    /// The guard of each start: whether clients may be served by the list in use.
+    pub(super) fn may_serve(&mut self) -> bool {
+        let list_until = self.lease.until(self.now);
+        self.core.guard_mut().check_start(self.now, list_until).is_ok()
+    }
+
     pub(super) fn ready(&self) -> bool {
         self.phase == Phase::Serving
     }
@@ -94,7 +101,8 @@
         if self.phase != Phase::Paused {
             return;
         }
-        self.phase = if self.can_serve() { Phase::Serving } else { Phase::Starting };
+        self.phase = Phase::Starting;
+        self.ready_if_told();
         self.parting_at = f64::MAX;
         self.log("resume: back to work");
         self.vrrp_take(crate::vrrp::Event::Startup);
@@ -132,6 +140,18 @@
         self.log(&format!("drain: listener closed, {} requests held", self.core.open()));
     }
 
+    /// Requests that are still held when the process ends get no answer.
+    fn check_unanswered(&mut self) {
+        let unanswered = self.core.open();
+        (0..unanswered).for_each(|_| self.core.guard_mut().violated(Rule::Unanswered));
+        if unanswered > 0 {
+            self.log(&format!(
+                "guard: VIOLATION {}: {unanswered} requests at the end",
+                Rule::Unanswered.label()
+            ));
+        }
+    }
+
     pub(super) fn check_end(&mut self) {
         let Phase::Closing { until } = self.phase else { return };
         let busy = |conn: &Conn| match conn {
@@ -142,6 +162,7 @@
         };
         if self.now >= until || !self.conns.values().any(busy) {
             self.phase = Phase::Stopped;
+            self.check_unanswered();
             self.log("stop: all that was held is answered");
         } else {
             self.timers.add(self.now + LAST_LINGER_S / 4.0, Deadline::Phase);
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -9,6 +9,7 @@
 use crate::api::{Outcome, ReplicaId};
 use crate::choices::connections;
 use crate::core::{AttemptKey, CallPart};
+use crate::guard::{CallTimes, Destination, Rule, ServerState};
 use crate::members::Speech;
 use mio::net::TcpStream;
 use std::io;
@@ -76,21 +77,83 @@
         }
     }
 
-    /// Writes what the connection's socket takes, and counts what has left whole.
+    /// Writes what the connection's socket takes and the guard allows, and counts what has left whole.
     pub(super) fn flush_leaf(&mut self, key: ConnKey) -> io::Result<()> {
+        let Some(Conn::Leaf(leaf)) = self.conns.get(key) else { return Ok(()) };
+        if leaf.idle_out() {
+            return Ok(());
+        }
+        let to = self.destination(leaf.replica);
+        let mut withdrawn = self.withdraw_unwanted(key);
         let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return Ok(()) };
-        let late = leaf.withdraw_late(self.now);
-        let stuck = leaf.stuck_late(self.now);
-        let flushed =
-            if stuck { Err(io::Error::other("a repeat is stuck beyond its window")) } else { leaf.flush() };
+        if leaf.up {
+            leaf.refresh_waits(self.now);
+        }
+        withdrawn.extend(leaf.withdraw_late(self.now));
+        let (now, guard) = (self.now, self.core.guard_mut());
+        let may_begin =
+            |call: &CallTimes| guard.check_destination(now, &to).and(guard.check_call(now, call)).is_ok();
+        let flushed = match leaf.stuck_late(now) {
+            true => Err(io::Error::other("a repeat is stuck beyond its window")),
+            false => leaf.flush(may_begin, &mut withdrawn),
+        };
         for (style, count) in STYLES.into_iter().zip(std::mem::take(&mut leaf.written)) {
             self.core.written(style, count);
         }
-        for attempt in late {
+        let begun_calls = std::mem::take(&mut leaf.begun_calls);
+        self.verify_calls(&to, &begun_calls);
+        for attempt in withdrawn {
             self.flights.remove(attempt);
             self.core.ended(self.now, attempt, Outcome::Moot, None, &mut self.commands);
         }
-        flushed
+        flushed.and(self.check_stuck(key))
+    }
+
+    /// What the guard has to know of a server before anything leaves for it.
+    fn destination(&mut self, replica: ReplicaId) -> Destination {
+        let drain_grace_s = self.deployment.policy.drain_grace_s;
+        let list_until = self.lease.until(self.now);
+        let server = self.directory.member(replica).map_or(ServerState::Gone, |member| member.state());
+        Destination { server, drain_grace_s, list_until }
+    }
+
+    /// Takes back calls that have not begun to leave and that nobody waits for any more. The core tells of each such attempt;
+    /// one that it did not is stopped here.
+    fn withdraw_unwanted(&mut self, key: ConnKey) -> Vec<AttemptKey> {
+        let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return Vec::new() };
+        let mut unwanted = leaf.waiting_attempts();
+        unwanted.retain(|attempt| !self.core.is_wanted(*attempt) && leaf.unsend(*attempt));
+        unwanted.iter().for_each(|_| self.core.guard_mut().stop(Rule::ClientGone));
+        unwanted
+    }
+
+    /// A call that is stuck half-way, and that nobody waits for any more, must not arrive: only the end of the connection keeps
+    /// its last byte back.
+    fn check_stuck(&mut self, key: ConnKey) -> io::Result<()> {
+        let Some(Conn::Leaf(leaf)) = self.conns.get(key) else { return Ok(()) };
+        let stuck = leaf.stuck_attempts();
+        if stuck.is_empty() || stuck.iter().any(|attempt| self.core.is_wanted(*attempt)) {
+            return Ok(());
+        }
+        self.core.guard_mut().stop(Rule::ClientGone);
+        Err(io::Error::other("a call is stuck whose client has gone"))
+    }
+
+    /// Judges calls that have begun to leave by the time it is now that they are written.
+    fn verify_calls(&mut self, to: &Destination, calls: &[CallTimes]) {
+        if calls.is_empty() {
+            return;
+        }
+        let written_at = self.clock.now();
+        for call in calls {
+            if let Err(rule) = self.core.guard_mut().verify_call(written_at, to, call) {
+                let held_up_s = written_at - self.now;
+                let rule = rule.label();
+                self.log(&format!(
+                    "guard: VIOLATION {rule}: a call left, {to:?}, {call:?}, held up for {held_up_s:.3} s"
+                ));
+            }
+        }
     }
 
     /// What did not leave never ran; that is a replica's fault only where something new may go there.
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -7,6 +7,7 @@
 use super::discovery::DiscoveryConn;
 use super::leaf::LeafConn;
 use super::{control, operator, token, ConnKey, Mixer};
+use crate::guard::Rule;
 use mio::net::TcpStream;
 use mio::Interest;
 use std::io;
@@ -66,6 +67,11 @@
             Some(Conn::Client(_)) => self.clients -= 1,
             Some(Conn::Leaf(leaf)) => {
                 self.leaves -= 1;
+                if !leaf.unused() {
+                    let rule = Rule::AttemptLost;
+                    self.core.guard_mut().violated(rule);
+                    self.log(&format!("guard: VIOLATION {}: a connection in use was dropped", rule.label()));
+                }
                 if let Some(member) = self.directory.member(leaf.replica) {
                     member.conns.retain(|other| *other != key);
                 }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -26,8 +26,19 @@
     let parts = vec![AskedPart { shard: 3, weight: 1.0, hint_s: None }];
     let asked = Rc::new(Asked { id: format!("q{now}"), text: "t".into(), parts, ..Asked::default() });
     let leave_by = f64::INFINITY;
-    leaf.call(&[CallPart { attempt, asked, place: 0, wait_s: 1.0, ahead: false, leave_by }], now);
-    leaf.flush().expect("room in the socket");
+    leaf.call(
+        &[CallPart {
+            attempt,
+            asked,
+            place: 0,
+            wait_s: 1.0,
+            client_until: f64::INFINITY,
+            ahead: false,
+            leave_by,
+        }],
+        now,
+    );
+    leaf.flush(|_| true, &mut Vec::new()).expect("room in the socket");
     attempt
 }
 
@@ -42,14 +53,25 @@
         let parts = vec![AskedPart { shard: 3, weight: 1.0, hint_s: None }];
         let asked = Rc::new(Asked { id: id.into(), text: "t".into(), parts, ..Asked::default() });
         let attempt = keys.insert(());
-        leaf.call(&[CallPart { attempt, asked, place: 0, wait_s: 1.0, ahead: false, leave_by }], 1.0);
+        leaf.call(
+            &[CallPart {
+                attempt,
+                asked,
+                place: 0,
+                wait_s: 1.0,
+                client_until: f64::INFINITY,
+                ahead: false,
+                leave_by,
+            }],
+            1.0,
+        );
         attempt
     };
     let (late, sound) = (call(&mut leaf, "late", 1.1), call(&mut leaf, "sound", 1.3));
     assert!(leaf.withdraw_late(1.1).is_empty(), "it may still leave");
     assert_eq!(leaf.withdraw_late(1.2), [late]);
     leaf.up = true;
-    leaf.flush().expect("room in the socket");
+    leaf.flush(|_| true, &mut Vec::new()).expect("room in the socket");
     assert!(leaf.withdraw_late(9.0).is_empty(), "what has left has left");
     assert!(!leaf.unused() && !leaf.give_up(sound, 1.25, DOUBT_S));
     drop(leaf);
@@ -137,7 +159,15 @@
             let text = "t".repeat(10 * (number + 1));
             let asked = Rc::new(Asked { id: format!("q{number}"), text, parts, ..Asked::default() });
             let (attempt, leave_by) = (attempts[number], f64::INFINITY);
-            CallPart { attempt, asked, place: 0, wait_s: 1.0, ahead: false, leave_by }
+            CallPart {
+                attempt,
+                asked,
+                place: 0,
+                wait_s: 1.0,
+                client_until: f64::INFINITY,
+                ahead: false,
+                leave_by,
+            }
         };
         leaf.call(&[part(0), part(1), part(2)], 1.0);
         // One is given up, the others only not sent: boxes that can't be told are no reason to send what is over.
@@ -146,7 +176,7 @@
             assert!(given_up || leaf.unsend(attempts[number]));
         }
         leaf.up = true;
-        leaf.flush().expect("room in the socket");
+        leaf.flush(|_| true, &mut Vec::new()).expect("room in the socket");
         let again = leaf.unsend(attempts[1]);
         assert!(!again, "what has left has left");
         drop(leaf);
@@ -173,7 +203,7 @@
     let withdrawn = ask(&mut leaf, &mut keys, 1.25);
     assert!(leaf.unsend(withdrawn));
     leaf.come_up(1.75);
-    leaf.flush().expect("room in the socket");
+    leaf.flush(|_| true, &mut Vec::new()).expect("room in the socket");
     assert!(leaf.idle_out() && !leaf.unsend(attempt), "it has left");
     ask(&mut leaf, &mut keys, 2.0);
     drop(leaf);
