--- a/tests/stale_list.rs
+++ b/tests/stale_list.rs
@@ -11,6 +11,8 @@
 const OBSERVED: Duration = Duration::from_secs(8);
 /// A mixer that restarts has to be ready within this time, also where discovery is away.
 const READY_WITHIN: Duration = Duration::from_secs(6);
+/// Longer than a change may stay untold.
+const STOOD_STILL: Duration = Duration::from_millis(7500);
 const QUERY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What discovery does with the first calls.
@@ -118,3 +120,41 @@
         }
     }
 }
+
+/// A process that stood still, for a paused machine or a debugger, goes on with a list that may long be outdated, and its
+/// watch may have been cut meanwhile: requests that wait for it are not sent by that list.
+#[test]
+fn a_mixer_that_stood_still_sends_nothing_by_its_old_list() {
+    let (removed, kept) = (LeafServer::start(), LeafServer::start());
+    let known = format!("{},{}", removed.line("removed", "Ready"), kept.line("kept", "Ready"));
+    let (before, after) = (known.clone(), kept.line("kept", "Ready"));
+    let is_removed = Arc::new(Mutex::new(false));
+    let shared = is_removed.clone();
+    let address = discovery(move |asked| match (asked, *shared.lock().expect("a lock")) {
+        (Some((_, wait)), _) if wait > 0 => Reply::Nothing, // what it would tell is lost
+        (_, false) => list(1, true, &before),
+        (_, true) => list(2, true, &after),
+    });
+    let setup = Setup { mixers: 3, mode: "subscribe", discovery: address, known: Some(known) };
+    let program = Program::start(&setup);
+    let address = program.await_address();
+    program.await_log("ready: serving");
+    let mut clients: Vec<Client> = (0..2).map(|_| Client::connect(address)).collect();
+    for client in &mut clients {
+        client.send_query();
+    }
+    assert!(clients.iter_mut().all(|client| client.answer() == 200));
+    program.signal("STOP");
+    let calls_before = removed.calls().len();
+    *is_removed.lock().expect("a lock") = true;
+    std::thread::sleep(STOOD_STILL);
+    clients.iter_mut().for_each(Client::send_query);
+    program.signal("CONT");
+    let goes_on_at = Instant::now();
+    clients.iter_mut().for_each(|client| drop(client.answer()));
+    while clients[0].query() != 200 {
+        assert!(goes_on_at.elapsed() < READY_WITHIN, "it does not serve again");
+        std::thread::sleep(QUERY_INTERVAL);
+    }
+    assert_eq!(removed.calls().len(), calls_before, "sent by a list that was {STOOD_STILL:?} old");
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -131,6 +131,12 @@
         Program { child, log, started_at, path }
     }
 
+    /// Sends it a signal, by its name without SIG.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "no signal {name}");
+    }
+
     /// Where it listens for clients.
     pub fn await_address(&self) -> SocketAddr {
         let (_, line) = self.await_line("start: ");
@@ -236,18 +242,39 @@
 
     /// Asks one part of the first shard; gives the answer's status.
     pub fn query(&mut self) -> u16 {
+        self.send_query();
+        self.answer()
+    }
+
+    /// Asks the same, and does not wait for the answer.
+    pub fn send_query(&mut self) {
         self.asked += 1;
         let body = r#"{"tablets":[{"tablet":0,"fraction":1}],"statement":"s"}"#;
         let id = self.asked;
-        self.exchange(&format!(
-            "POST /slot HTTP/1.1\r\nHost: s\r\nX-Request-ID: q{id}\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 5000\r\n\
+        let name = self.name();
+        self.send(&format!(
+            "POST /slot HTTP/1.1\r\nHost: s\r\nX-Request-ID: {name}-{id}\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 5000\r\n\
              Content-Length: {}\r\n\r\n{body}",
             body.len()
         ))
     }
 
+    /// Different for each client: its port.
+    fn name(&self) -> u16 {
+        self.stream.get_ref().local_addr().expect("connected").port()
+    }
+
     fn exchange(&mut self, request: &str) -> u16 {
+        self.send(request);
+        self.answer()
+    }
+
+    fn send(&mut self, request: &str) {
         self.stream.get_mut().write_all(request.as_bytes()).expect("it takes the request");
+    }
+
+    /// The next answer's status.
+    pub fn answer(&mut self) -> u16 {
         let mut line = String::new();
         self.stream.read_line(&mut line).expect("an answer");
         let status = line.split(' ').nth(1).and_then(|text| text.parse().ok()).expect("a status");
