--- a/src/choices/list_lease.rs
+++ b/src/choices/list_lease.rs
@@ -11,6 +11,11 @@
 
 /// A change counts as told so long after discovery had it and could be reached (seconds).
 const LEASE_S: f64 = 6.0;
+/// What a watch misses that fell silent counts as told so long after its wait, if that is later (seconds); less than the
+/// 2 s of the terms, for the next call has to be answered by then.
+const AFTER_WATCH_S: f64 = 1.5;
+/// After a change to another discovery what that has counts as told so much later (seconds).
+const MOVED_LEASE_S: f64 = 4.0;
 /// A call is made so long before the end of a lease in use: it may take 2 s to fail, and begins at a periodic tick.
 const RENEW_BEFORE_S: f64 = 2.5;
 /// A list from before the start is acted on unconfirmed only after so many calls that failed, and so long after the start
@@ -72,6 +77,7 @@
     failed_calls: u32, // in a row
     used_at: f64,
     suspended_until: f64,
+    watch_until: f64, // when the wait of the open watch is over
 }
 
 impl ListLease {
@@ -85,21 +91,31 @@
             failed_calls: 0,
             used_at: now,
             suspended_until: f64::NEG_INFINITY,
+            watch_until: f64::NEG_INFINITY,
         }
     }
 
-    /// There is a discovery from now on. Where there was none before, the list was true until now.
-    pub fn discovery_named(&mut self, now: f64) {
+    /// Another discovery is asked from now on. Where there was none before, the list was true until now.
+    pub fn discovery_moved(&mut self, now: f64) {
         if !self.has_discovery {
             (self.has_discovery, self.confirmed_at) = (true, Some(now));
         }
+        let latest = now + MOVED_LEASE_S - LEASE_S;
+        self.confirmed_at = self.confirmed_at.map(|at| at.min(latest));
+        self.failed_call_at = self.failed_call_at.map(|at| at.min(latest));
+        self.watch_until = f64::NEG_INFINITY;
+    }
+
+    /// A watch is open, and discovery is to answer it by then.
+    pub fn watch_opened(&mut self, wait_over_at: f64) {
+        self.watch_until = wait_over_at;
     }
 
     /// The list was true at that time.
     pub fn confirmed(&mut self, at: f64) {
         self.confirmed_at = Some(self.confirmed_at.map_or(at, |before| before.max(at)));
         (self.failed_call_at, self.failed_calls) = (None, 0);
-        self.suspended_until = f64::NEG_INFINITY;
+        (self.suspended_until, self.watch_until) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
     }
 
     /// A call that began at that time has failed.
@@ -150,8 +166,10 @@
         let unreachable =
             self.failed_call_at.filter(|_| self.confirmed_at.is_some() || self.is_hold_over(now));
         let latest = self.confirmed_at.into_iter().chain(unreachable).fold(f64::NEG_INFINITY, f64::max);
-        let suspended = if latest.is_finite() { self.suspended_until } else { f64::NEG_INFINITY };
-        latest.max(suspended) + LEASE_S
+        if latest.is_infinite() {
+            return f64::NEG_INFINITY;
+        }
+        (latest.max(self.suspended_until) + LEASE_S).max(self.watch_until + AFTER_WATCH_S)
     }
 
     /// Whether the list may be acted on now.
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -11,9 +11,13 @@
 use crate::guard::Rule;
 use crate::store::MAX_VALUE_BYTES;
 use mio::net::TcpStream;
-use slotmap::Key;
+use mio::Events;
+use slotmap::{Key, KeyData};
 use std::io::{self, Read, Write};
 
+/// No descriptor is left in the machine, or in the process (Linux).
+const ENFILE: i32 = 23;
+const EMFILE: i32 = 24;
 /// Longest body of a client's query (bytes).
 const BODY_MOST: usize = 64 * 1024;
 /// Pages of the store, where it is set up: the rest of their target is the key.
@@ -87,6 +91,22 @@
     }
 }
 
+/// Which clients go first where there is no room for all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EvictionRank {
+    /// Its last answer is out.
+    Answered,
+    /// It is between requests, or slow to send one.
+    Idle,
+    /// It has just connected, and its request may be on its way.
+    Fresh,
+}
+
+/// Whether a system call failed for want of descriptors, of this process or of the machine.
+fn is_out_of_descriptors(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(EMFILE | ENFILE))
+}
+
 pub(super) struct Client {
     pub(super) stream: TcpStream,
     pub(super) style: Style,
@@ -148,7 +168,7 @@
                     _ => {
                         // Out of descriptors or memory: the queue stays, and nothing tells us of it again.
                         self.log(&format!("accept: {error}"));
-                        let _ = self.evict();
+                        self.make_room_after(&error);
                         self.timers.add(self.now + ACCEPT_AGAIN_S, Deadline::Accept);
                         return;
                     }
@@ -228,28 +248,41 @@
         }
     }
 
+    /// A system call failed: where descriptors are fewer than we were told, a client that waits for nothing goes.
+    pub(super) fn make_room_after(&mut self, error: &io::Error) {
+        if is_out_of_descriptors(error) {
+            let _ = self.evict_up_to(EvictionRank::Idle);
+        }
+    }
+
+    /// Makes room for a client, whoever has to go.
+    pub(super) fn evict(&mut self) -> bool {
+        self.evict_up_to(EvictionRank::Fresh)
+    }
+
     /// Makes room for a client: one whose last answer is out goes, or the one that has been without a request,
     /// or slow to send one, for the longest. Those whose requests are held stay; where there are no others it
     /// says that there is no room. Guards the clients that have just connected against crowds that connect or
     /// stay and say nothing: theirs is the request that comes next, and it is not sent a second time.
-    pub(super) fn evict(&mut self) -> bool {
+    fn evict_up_to(&mut self, most: EvictionRank) -> bool {
         loop {
             let rank = |(key, conn): (ConnKey, &Conn)| match conn {
                 Conn::Client(client) => {
                     let rank = match client.state {
                         ClientState::Lingering if self.now < client.since + LINGER_LEAST_S => return None,
-                        ClientState::Lingering => 0,
-                        ClientState::Reading if self.now < client.since + FRESH_S && !client.kept() => 2,
-                        ClientState::Reading => 1,
+                        ClientState::Lingering => EvictionRank::Answered,
+                        ClientState::Reading if self.now < client.since + FRESH_S && !client.kept() => {
+                            EvictionRank::Fresh
+                        }
+                        ClientState::Reading => EvictionRank::Idle,
                         _ => return None,
                     };
-                    Some((rank, client.since, client.idle(), key))
+                    (rank <= most).then_some((rank, client.since, client.idle(), key))
                 }
                 _ => None,
             };
-            let order = |a: &(u8, f64, bool, ConnKey), b: &(u8, f64, bool, ConnKey)| {
-                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-            };
+            type Ranked = (EvictionRank, f64, bool, ConnKey);
+            let order = |a: &Ranked, b: &Ranked| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
             let Some((_, _, idle, key)) = self.conns.iter().filter_map(rank).min_by(order) else {
                 return false;
             };
@@ -478,6 +511,7 @@
         let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
         while client.written < client.out.len() {
             match client.stream.write(&client.out[client.written..]) {
+                Ok(0) => return self.close_client(key, CloseReason::WriteFailed),
                 Ok(count) => client.written += count,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -564,6 +598,21 @@
         self.drop_conn(key);
     }
 
+    /// Takes the clients that have gone before anything is done that could be for them: whoever has closed its side gets
+    /// no further attempt, also where a failed one is found in the same turn.
+    pub(super) fn heed_ends(&mut self, events: &Events) {
+        for event in events.iter().filter(|event| event.is_read_closed() || event.is_error()) {
+            let key = ConnKey::from(KeyData::from_ffi(event.token().0 as u64));
+            let is_held =
+                |client: &Client| matches!(client.state, ClientState::Pending(_) | ClientState::Waiting);
+            let is_conn = super::token(key) == event.token(); // and no listener's
+            if is_conn && matches!(self.conns.get(key), Some(Conn::Client(client)) if is_held(client)) {
+                self.client_event(key, true);
+                self.settle();
+            }
+        }
+    }
+
     /// Something came from a client, its side is closed, or more can be written to it.
     pub(super) fn client_event(&mut self, key: ConnKey, ended: bool) {
         let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -151,7 +151,7 @@
                     _ => {
                         // Fewer descriptors than we were told: a client goes, and the queue is tried again.
                         self.log(&format!("door: accept: {error}"));
-                        let _ = self.evict();
+                        self.make_room_after(&error);
                         return self.timers.add(self.now + super::ACCEPT_AGAIN_S, Deadline::AdminAccept);
                     }
                 },
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -173,6 +173,7 @@
     fn flush(&mut self) -> io::Result<()> {
         while self.up && !self.out.is_empty() {
             match self.stream.write(&self.out) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(count) => drop(self.out.drain(..count)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -361,6 +362,7 @@
         self.link.heartbeat.set_mixers(self.deployment.policy.aggregators);
         let times = self.link.heartbeat.watch_times(self.now, self.rng.rand_float());
         self.make_call(key, Call::Watch { since, wait_s: times.wait_s }, times.timeout_s);
+        self.lease.watch_opened(self.now + times.wait_s);
         let next_at = self.link.heartbeat.watch_made(self.now);
         self.timers.add(next_at, Deadline::Heartbeat);
     }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -412,7 +412,8 @@
         match self.phase {
             Phase::Closing { .. } | Phase::Stopped => return,
             Phase::Leaving => {
-                (self.phase, self.parting_at) = (Phase::Serving, f64::MAX);
+                (self.phase, self.parting_at) = (Phase::Starting, f64::MAX);
+                self.ready_if_told();
                 self.meet_successors();
                 self.open_listeners();
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -302,6 +302,7 @@
                 }
             }
             let heard = self.hear_discovery(&events);
+            self.heed_ends(&events);
             for event in &events {
                 match event.token() {
                     Token(style) if style < STYLES.len() => self.accept(STYLES[style]),
@@ -369,6 +370,7 @@
         match due {
             Deadline::Core(wake) => self.core.wake(self.now, wake, &mut self.commands),
             Deadline::Conn(key) => self.conn_due(key),
+            Deadline::Register(key) => self.register(key),
             Deadline::Handover => self.handover_due(),
             Deadline::AdminAccept => self.admin_accept(),
             Deadline::Accept => STYLES.into_iter().for_each(|style| self.accept(style)),
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -418,6 +418,7 @@
         self.up = true;
         while !self.out.is_empty() {
             match self.stream.write(&self.out) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(count) => drop(self.out.drain(..count)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -71,7 +71,7 @@
     pub(super) fn go_over(&mut self, address: SocketAddr) {
         self.log(&format!("reload: going over to discovery {address}"));
         (self.discovery, self.file_discovery, self.revision) = (Some(address), Some(address), None);
-        self.lease.discovery_named(self.now);
+        self.lease.discovery_moved(self.now);
         self.leave_discovery();
         self.going_over = true;
         self.ask();
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -24,6 +24,7 @@
             return;
         }
         let (most, now, doubt_s) = (self.deployment.streams_per_conn, self.now, self.doubt_s());
+        let idle_s = IDLE_SHARE * self.deployment.conn_idle_s;
         let Some(member) = self.directory.member(replica) else { return self.unsent(&parts, false) };
         let (address, speech, ready) = (member.address, member.speech, member.ready);
         if speech == Speech::Search && parts.len() > 1 {
@@ -35,7 +36,9 @@
         // replica, which may be sound, be taken for dead.
         conns.retain(|key| {
             let silent = |leaf: &LeafConn| leaf.in_doubt(now, doubt_s) && leaf.unused();
-            let over = matches!(self.conns.get(*key), Some(Conn::Leaf(leaf)) if silent(leaf));
+            // Nor may a loop that was held up use one that stood unused for so long that the other side closes it.
+            let idle = |leaf: &LeafConn| leaf.up && leaf.unused() && now >= leaf.used_at + idle_s;
+            let over = matches!(self.conns.get(*key), Some(Conn::Leaf(leaf)) if silent(leaf) || idle(leaf));
             if over {
                 self.drop_conn(*key);
             }
@@ -167,12 +170,11 @@
     /// Guards the sockets to replicas and discovery where descriptors are fewer than we were told: an idle
     /// client goes, and the connection is tried once more.
     pub(super) fn without_a_client(&mut self, to: SocketAddr, error: io::Error) -> io::Result<TcpStream> {
-        let refused =
-            matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::NetworkUnreachable);
-        if refused || !self.evict() {
-            return Err(error);
+        self.make_room_after(&error);
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused | io::ErrorKind::NetworkUnreachable => Err(error),
+            _ => TcpStream::connect(to), // what fails for a moment may succeed now
         }
-        TcpStream::connect(to)
     }
 
     pub(super) fn open_leaf(
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -6,12 +6,15 @@
 use super::clients::Client;
 use super::discovery::DiscoveryConn;
 use super::leaf::LeafConn;
-use super::{control, operator, token, ConnKey, Mixer};
+use super::{control, operator, token, ConnKey, Deadline, Mixer};
 use crate::guard::Rule;
 use mio::net::TcpStream;
 use mio::Interest;
 use std::io;
 
+/// Where the system refuses to watch a socket it is asked again after this time (seconds).
+const REGISTER_AGAIN_S: f64 = 0.02;
+
 /// A connection of any kind.
 pub(super) enum Conn {
     Client(Box<Client>),
@@ -33,8 +36,10 @@
             Some(Conn::Caller(caller)) => caller.register(registry, key),
             None => Ok(()),
         };
+        // A socket that nobody watches would keep whoever is on it waiting for ever.
         if let Err(error) = result {
             self.log(&format!("poll: {error}"));
+            self.timers.add(self.now + REGISTER_AGAIN_S, Deadline::Register(key));
         }
     }
 
--- a/src/net/timer_queue.rs
+++ b/src/net/timer_queue.rs
@@ -12,6 +12,7 @@
 pub(super) enum Deadline {
     Core(Wake),
     Conn(ConnKey),
+    Register(ConnKey),
     Accept,
     AdminAccept,
     Handover,
