--- a/crates/wharfhub-lab/src/experiments/mod.rs
+++ b/crates/wharfhub-lab/src/experiments/mod.rs
@@ -4,6 +4,7 @@
 mod decisions;
 mod deployments;
 mod scale;
+mod soak;
 mod tail;
 mod two_phase;
 
@@ -62,7 +63,7 @@
 }
 
 /// All of them.
-pub const ALL: [Experiment; 6] = [
+pub const ALL: [Experiment; 7] = [
     Experiment {
         name: "data-path",
         what: "the daemon's CPU for a query, by the number of its parts",
@@ -83,6 +84,11 @@
         what: "memory, CPU, messages and time for a change by mixers, servers and changes a second",
         run: scale::run,
     },
+    Experiment {
+        name: "soak",
+        what: "real daemons under random faults that overlap in time, judged by the operators' rules",
+        run: soak::run,
+    },
     Experiment {
         name: "tail",
         what: "180 answers with slow leaf servers: queries in time, and what second copies cost",
--- /dev/null
+++ b/crates/wharfhub-lab/src/experiments/soak.rs
@@ -0,0 +1,91 @@
+//! The randomized fault soak: real daemons under faults that overlap in time, judged from outside, over many seeds.
+
+use super::{Failure, Options, Verdict};
+use crate::report::Table;
+use crate::soak::plan::Plan;
+use crate::soak::run::{self, Outcome};
+use std::collections::BTreeMap;
+
+/// Soaks of a full run, one after the other.
+const SEEDS: u64 = 20;
+/// The part of the experiment that plays its first seed alone, at full size.
+const ONE_SEED: &str = "one";
+/// In the quiet time at the end at least this share is served.
+const MIN_SERVED_AT_THE_END: f64 = 0.9;
+/// Broken rules that are printed of each soak.
+const MAX_PRINTED: usize = 8;
+
+fn row(plan: &Plan, outcome: &Outcome) -> Vec<String> {
+    let counts = outcome.requests;
+    vec![
+        plan.seed.to_string(),
+        plan.terms.mixers.to_string(),
+        plan.told_size.to_string(),
+        if plan.pushed { "pushed" } else { "asked" }.into(),
+        plan.faults.len().to_string(),
+        counts.all.to_string(),
+        counts.served.to_string(),
+        counts.refused.to_string(),
+        counts.failed.to_string(),
+        counts.left.to_string(),
+        (counts.not_taken + counts.unanswered).to_string(),
+        outcome.calls.to_string(),
+        format!("{:.3}", outcome.served_at_the_end),
+        outcome.stops.to_string(),
+        outcome.violations.len().to_string(),
+    ]
+}
+
+fn print_violations(plan: &Plan, outcome: &Outcome) {
+    let mut by_rule: BTreeMap<_, usize> = BTreeMap::new();
+    for violation in &outcome.violations {
+        *by_rule.entry(violation.rule).or_default() += 1;
+    }
+    println!("seed {}: broken {by_rule:?}", plan.seed);
+    for violation in outcome.violations.iter().take(MAX_PRINTED) {
+        println!("  {:7.3} {:?}: {}", violation.at, violation.rule, violation.what);
+    }
+    for planned in &plan.faults {
+        println!("  fault {:7.3} {:?}", planned.at, planned.fault);
+    }
+}
+
+/// Runs the experiment.
+pub fn run(options: &Options) -> Verdict {
+    let seeds = if options.quick || options.part.as_deref() == Some(ONE_SEED) { 1 } else { SEEDS };
+    let columns = [
+        "seed",
+        "mixers",
+        "told size",
+        "lists",
+        "faults",
+        "requests",
+        "served",
+        "refused",
+        "failed",
+        "left",
+        "no answer",
+        "calls",
+        "served at the end",
+        "stops",
+        "broken",
+    ];
+    let mut table = Table::new(&columns);
+    let mut short = Vec::new();
+    for seed in options.seed..options.seed + seeds {
+        let plan = Plan::draw(seed, options.quick);
+        let folder = options.out.join(format!("soak-{seed}"));
+        let (_, outcome) = run::play(&plan, &folder).map_err(Failure::from)?;
+        table.row(row(&plan, &outcome));
+        if !outcome.violations.is_empty() {
+            print_violations(&plan, &outcome);
+            short.push(format!("seed {seed}: {} rules broken", outcome.violations.len()));
+        }
+        if outcome.served_at_the_end < MIN_SERVED_AT_THE_END {
+            short.push(format!("seed {seed}: {:.3} served at the end", outcome.served_at_the_end));
+        }
+    }
+    print!("{}", table.text());
+    table.save(&options.out.join("soak.csv"))?;
+    Ok((!short.is_empty()).then(|| short.join("; ")))
+}
--- a/crates/wharfhub-lab/src/lib.rs
+++ b/crates/wharfhub-lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod report;
 pub mod rules;
 pub mod site;
+pub mod soak;
 pub mod standin;
 pub mod tally;
 pub mod world;
--- /dev/null
+++ b/crates/wharfhub-lab/src/soak/clients.rs
@@ -0,0 +1,239 @@
+//! The clients of a soak: some for each mixer, one request after the other, as the platform's front would lead them.
+//!
+//! They note how each request ended. This file must never judge.
+
+use super::history::{Recorder, Request, RequestEnd};
+use rand::seq::index::sample;
+use rand::Rng;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Wait between two requests of a client, at most (milliseconds).
+const MAX_PAUSE_MS: u64 = 120;
+/// How long a client waits for its answer, at least and at most (milliseconds).
+const WAIT_MS: (u64, u64) = (250, 900);
+/// Half a second after its time an answer still counts.
+const LATE: Duration = Duration::from_millis(500);
+/// Share of the requests of the keyed class.
+const KEYED_SHARE: f64 = 0.25;
+/// Odds that a client leaves early, while clients do.
+const LEAVING_ODDS: f64 = 0.4;
+/// How often readiness is asked.
+const READY_TICK: Duration = Duration::from_millis(50);
+const MAX_PARTS: usize = 6;
+
+/// What the clients of one mixer go by.
+#[derive(Default)]
+pub struct MixerDoor {
+    /// Whether the front leads clients there: the mixer was ready, and has not been told to end or died.
+    pub is_open: AtomicBool,
+    /// Whether new connections are made: for some tenths of a second longer than that after SIGTERM.
+    pub takes_new: AtomicBool,
+}
+
+/// What all clients go by.
+pub struct Front {
+    /// Where each mixer listens.
+    pub addresses: Vec<SocketAddr>,
+    /// Each mixer's door.
+    pub doors: Vec<MixerDoor>,
+    /// Whether clients leave early.
+    pub clients_leave: AtomicBool,
+    /// Whether the soak is over.
+    pub is_over: AtomicBool,
+    /// Shards that there are.
+    pub shards: u32,
+    /// Where what is seen is noted.
+    pub recorder: Arc<Recorder>,
+    last_request: AtomicU64,
+}
+
+impl Front {
+    /// A front before mixers at these addresses, all closed.
+    pub fn new(addresses: Vec<SocketAddr>, shards: u32, recorder: Arc<Recorder>) -> Front {
+        Front {
+            doors: addresses.iter().map(|_| MixerDoor::default()).collect(),
+            addresses,
+            clients_leave: AtomicBool::default(),
+            is_over: AtomicBool::default(),
+            shards,
+            recorder,
+            last_request: AtomicU64::default(),
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Relaxed)
+    }
+
+    /// One client of a mixer, until the soak is over.
+    pub fn run_client(&self, mixer: usize) {
+        let mut kept: Option<BufReader<TcpStream>> = None;
+        let mut rng = rand::rng();
+        while !self.is_over() {
+            std::thread::sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)));
+            if !self.doors[mixer].is_open.load(Ordering::Relaxed) {
+                // Whoever has a connection goes on with it; SIGKILL or the mixer ends it.
+                if kept.is_none() {
+                    std::thread::sleep(READY_TICK);
+                    continue;
+                }
+            }
+            self.ask(mixer, &mut kept);
+        }
+    }
+
+    /// One request, and once more on a new connection where the end of a kept one crossed it.
+    fn ask(&self, mixer: usize, kept: &mut Option<BufReader<TcpStream>>) {
+        let mut rng = rand::rng();
+        let number = self.last_request.fetch_add(1, Ordering::Relaxed);
+        let id = format!("m{mixer}-{number}");
+        let wait = Duration::from_millis(rng.random_range(WAIT_MS.0..WAIT_MS.1));
+        let keyed = rng.random_bool(KEYED_SHARE);
+        let leaves = self.clients_leave.load(Ordering::Relaxed) && rng.random_bool(LEAVING_ODDS);
+        let leaves_after = leaves.then(|| wait.mul_f64(rng.random_range(0.0..1.0)));
+        let text = self.text(&id, keyed, wait);
+        let is_kept = kept.is_some();
+        let mut at = self.recorder.now();
+        let mut end = match kept.take() {
+            Some(stream) => self.exchange(stream, &text, wait, leaves_after, kept),
+            None => self.exchange_anew(mixer, &text, wait, leaves_after, kept),
+        };
+        let mut broke_on_kept_at = None;
+        if let (true, RequestEnd::Broken { at: broke_at }) = (is_kept, end) {
+            broke_on_kept_at = Some(broke_at);
+            at = self.recorder.now();
+            end = self.exchange_anew(mixer, &text, wait, leaves_after, kept);
+        }
+        let request = Request { id, mixer, at, wait_s: wait.as_secs_f64(), keyed, broke_on_kept_at, end };
+        self.recorder.record(|history| history.requests.push(request));
+    }
+
+    fn exchange_anew(
+        &self,
+        mixer: usize,
+        text: &str,
+        wait: Duration,
+        leaves_after: Option<Duration>,
+        kept: &mut Option<BufReader<TcpStream>>,
+    ) -> RequestEnd {
+        if !self.doors[mixer].takes_new.load(Ordering::Relaxed) {
+            return RequestEnd::NotTaken;
+        }
+        match TcpStream::connect(self.addresses[mixer]) {
+            Ok(stream) => self.exchange(BufReader::new(stream), text, wait, leaves_after, kept),
+            Err(_) => RequestEnd::NotTaken,
+        }
+    }
+
+    /// Sends a request and waits for its answer; a connection that stays alive is kept.
+    fn exchange(
+        &self,
+        mut stream: BufReader<TcpStream>,
+        text: &str,
+        wait: Duration,
+        leaves_after: Option<Duration>,
+        kept: &mut Option<BufReader<TcpStream>>,
+    ) -> RequestEnd {
+        let _ = stream.get_ref().set_nodelay(true);
+        if stream.get_mut().write_all(text.as_bytes()).is_err() {
+            return RequestEnd::Broken { at: self.recorder.now() };
+        }
+        let until = Instant::now() + leaves_after.unwrap_or(wait + LATE);
+        let answer = read_answer(&mut stream, until);
+        let at = self.recorder.now();
+        match answer {
+            Ok(answer) => {
+                if answer.keeps_alive {
+                    *kept = Some(stream);
+                }
+                RequestEnd::Answered { at, status: answer.status }
+            }
+            Err(error) if is_timeout(&error) && leaves_after.is_some() => {
+                drop(stream);
+                RequestEnd::Left { at: self.recorder.now() }
+            }
+            Err(error) if is_timeout(&error) => RequestEnd::Silent,
+            Err(_) => RequestEnd::Broken { at },
+        }
+    }
+
+    fn text(&self, id: &str, keyed: bool, wait: Duration) -> String {
+        let mut rng = rand::rng();
+        let shards = self.shards as usize;
+        let count = rng.random_range(1..=MAX_PARTS.min(shards));
+        let fraction = 1.0 / count as f64;
+        let part = |shard: usize| format!("{{\"tablet\":{shard},\"fraction\":{fraction}}}");
+        let parts = sample(&mut rng, shards, count).iter().map(part).collect::<Vec<_>>().join(",");
+        let body = format!("{{\"tablets\":[{parts}],\"statement\":\"s\"}}");
+        let class = if keyed { "hold" } else { "slot" };
+        let key = if keyed { format!("Idempotency-Key: k{id}\r\n") } else { String::new() };
+        format!(
+            "POST /{class} HTTP/1.1\r\nHost: s\r\nX-Request-ID: {id}\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: {}\r\n{key}\
+             Content-Length: {}\r\n\r\n{body}",
+            wait.as_millis(),
+            body.len()
+        )
+    }
+}
+
+struct Answer {
+    status: u16,
+    keeps_alive: bool,
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
+}
+
+/// Sets how long the next read may take; an error where that time is over.
+fn limit(stream: &BufReader<TcpStream>, until: Instant) -> io::Result<()> {
+    let left = until.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Err(io::ErrorKind::TimedOut.into());
+    }
+    stream.get_ref().set_read_timeout(Some(left))
+}
+
+fn read_answer(stream: &mut BufReader<TcpStream>, until: Instant) -> io::Result<Answer> {
+    let mut line = String::new();
+    limit(stream, until)?;
+    if stream.read_line(&mut line)? == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    let status =
+        line.split(' ').nth(1).and_then(|text| text.parse().ok()).ok_or(io::ErrorKind::InvalidData)?;
+    let (mut length, mut keeps_alive) = (0, true);
+    loop {
+        line.clear();
+        limit(stream, until)?;
+        if stream.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        match name.to_ascii_lowercase().as_str() {
+            "content-length" => length = value.trim().parse().map_err(|_| io::ErrorKind::InvalidData)?,
+            "connection" => keeps_alive = value.trim() != "close",
+            _ => {}
+        }
+    }
+    limit(stream, until)?;
+    stream.read_exact(&mut vec![0; length])?;
+    Ok(Answer { status, keeps_alive })
+}
+
+/// Asks a page of a mixer on a connection of its own; gives the status and the body.
+pub fn get(address: SocketAddr, target: &str) -> io::Result<(u16, String)> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+    write!(stream, "GET {target} HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n")?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    let status =
+        text.split(' ').nth(1).and_then(|status| status.parse().ok()).ok_or(io::ErrorKind::InvalidData)?;
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    Ok((status, body.to_string()))
+}
--- /dev/null
+++ b/crates/wharfhub-lab/src/soak/history.rs
@@ -0,0 +1,201 @@
+//! What the stand-ins of a soak saw, each with its time: the only thing that the judge goes by.
+//!
+//! Times are seconds since the soak began, by one monotonic clock. This file must never judge.
+
+use crate::standin::lock;
+use std::sync::Mutex;
+use std::time::Instant;
+
+/// What discovery says of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerPhase {
+    /// Something new may go there.
+    Ready,
+    /// It drains.
+    Draining,
+    /// It is gone.
+    Gone,
+}
+
+/// A version of the list: discovery has it from that time on.
+#[derive(Clone, Debug)]
+pub struct Version {
+    /// When.
+    pub at: f64,
+    /// Each server's phase.
+    pub phases: Vec<ServerPhase>,
+}
+
+/// An answer of discovery that was written whole.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    /// To which mixer.
+    pub mixer: usize,
+    /// When it was written.
+    pub at: f64,
+    /// The version, by place.
+    pub version: usize,
+}
+
+/// A time in which a mixer could not reach discovery.
+#[derive(Clone, Copy, Debug)]
+pub struct Unreachable {
+    /// Which; all of them where there is none.
+    pub mixer: Option<usize>,
+    /// From when.
+    pub from: f64,
+    /// To when.
+    pub to: f64,
+}
+
+/// A part that came to a server.
+#[derive(Clone, Debug)]
+pub struct PartCall {
+    /// Whose.
+    pub mixer: usize,
+    /// The client's name of the request.
+    pub request: String,
+    /// Which shard.
+    pub shard: u32,
+    /// Where it came.
+    pub server: usize,
+    /// When.
+    pub at: f64,
+    /// How long the server is told to work for it (seconds).
+    pub told_wait_s: f64,
+    /// Whether it never ran: the server turned it away.
+    pub never_ran: bool,
+}
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RequestEnd {
+    /// A final answer came.
+    Answered {
+        /// When its last byte came.
+        at: f64,
+        /// Its status.
+        status: u16,
+    },
+    /// The client closed its connection.
+    Left {
+        /// When.
+        at: f64,
+    },
+    /// The connection ended without an answer.
+    Broken {
+        /// When.
+        at: f64,
+    },
+    /// No answer came by half a second after its time.
+    Silent,
+    /// It could not be handed in: nobody accepted the connection.
+    NotTaken,
+}
+
+/// A request of a client.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its name.
+    pub id: String,
+    /// Where it was handed in.
+    pub mixer: usize,
+    /// When its last byte was written.
+    pub at: f64,
+    /// How long the client waits (seconds).
+    pub wait_s: f64,
+    /// Whether repeats of its parts are discarded by key for a while only.
+    pub keyed: bool,
+    /// When a kept connection ended under it without an answer, before it was sent once more on a new one.
+    pub broke_on_kept_at: Option<f64>,
+    /// How it ended.
+    pub end: RequestEnd,
+}
+
+/// What happened to a process of a mixer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ProcessEvent {
+    /// It was started.
+    Started,
+    /// It said that it is ready.
+    Ready,
+    /// It was killed.
+    Killed,
+    /// It was told to end.
+    ToldToEnd,
+    /// It has ended after that.
+    Ended,
+    /// It was stopped.
+    Stopped,
+    /// It goes on.
+    Continued,
+    /// It ended by itself.
+    Crashed,
+    /// Its own guard counted so many violations.
+    Violations(u64),
+    /// Its own guard stopped so many acts.
+    Stops(u64),
+}
+
+/// A process event with its mixer and time.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessRecord {
+    /// Which mixer.
+    pub mixer: usize,
+    /// When.
+    pub at: f64,
+    /// What.
+    pub event: ProcessEvent,
+}
+
+/// All that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// Versions of the list, in order.
+    pub versions: Vec<Version>,
+    /// Answers of discovery.
+    pub told: Vec<Told>,
+    /// When discovery was out of reach.
+    pub unreachable: Vec<Unreachable>,
+    /// Parts at servers.
+    pub calls: Vec<PartCall>,
+    /// Requests of clients.
+    pub requests: Vec<Request>,
+    /// Processes.
+    pub processes: Vec<ProcessRecord>,
+}
+
+/// The history while it is written, and the clock of all who write.
+pub struct Recorder {
+    start: Instant,
+    history: Mutex<History>,
+}
+
+impl Default for Recorder {
+    fn default() -> Recorder {
+        Recorder { start: Instant::now(), history: Mutex::default() }
+    }
+}
+
+impl Recorder {
+    /// The time now (seconds).
+    pub fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    /// Writes something down.
+    pub fn record(&self, write: impl FnOnce(&mut History)) {
+        write(&mut lock(&self.history));
+    }
+
+    /// Something happened to a process now.
+    pub fn process(&self, mixer: usize, event: ProcessEvent) {
+        let at = self.now();
+        self.record(|history| history.processes.push(ProcessRecord { mixer, at, event }));
+    }
+
+    /// What was written so far.
+    pub fn history(&self) -> History {
+        lock(&self.history).clone()
+    }
+}
--- /dev/null
+++ b/crates/wharfhub-lab/src/soak/run.rs
@@ -0,0 +1,409 @@
+//! One soak from start to end: the stand-ins, the processes, the plan's faults in their time, and the judge at the end.
+//!
+//! Each fault that lasts has a thread of its own, so that faults overlap as the plan has them. All that was started ends
+//! with the soak.
+
+use super::clients::Front;
+use super::history::{History, ProcessEvent, Recorder, RequestEnd, ServerPhase};
+use super::judge::{Judge, Violation};
+use super::plan::{Fault, Plan, Planned};
+use super::processes::{MixerProcess, Signal};
+use super::registry::{ListedServer, Registry, ADDRESSES_EACH};
+use super::servers::{Behavior, LeafServer};
+use std::io;
+use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Clients of each mixer.
+const CLIENTS_EACH: usize = 2;
+const TICK: Duration = Duration::from_millis(20);
+/// After SIGTERM new connections still come for so long: the front has not noticed yet.
+const NOTICED_S: f64 = 0.3;
+/// Requests still come on kept connections; the last of them have ended so long after the soak (seconds).
+const LAST_REQUESTS_S: f64 = 1.6;
+
+/// What came of a soak.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Broken rules.
+    pub violations: Vec<Violation>,
+    /// Requests that were taken, and of these the served, refused, failed and left ones.
+    pub requests: RequestCounts,
+    /// The share of requests that were served in the quiet time at the end.
+    pub served_at_the_end: f64,
+    /// Parts that came to servers.
+    pub calls: usize,
+    /// Acts that the mixers' guards stopped.
+    pub stops: u64,
+}
+
+/// How requests ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RequestCounts {
+    /// All.
+    pub all: usize,
+    /// Answers with 200.
+    pub served: usize,
+    /// Answers with 429 and 503.
+    pub refused: usize,
+    /// Other answers.
+    pub failed: usize,
+    /// Clients that left.
+    pub left: usize,
+    /// Nobody took them.
+    pub not_taken: usize,
+    /// No answer.
+    pub unanswered: usize,
+}
+
+impl RequestCounts {
+    fn of<'a>(requests: impl Iterator<Item = &'a super::history::Request>) -> RequestCounts {
+        let mut counts = RequestCounts::default();
+        for request in requests {
+            counts.all += 1;
+            let kind = match request.end {
+                RequestEnd::Answered { status: 200, .. } => &mut counts.served,
+                RequestEnd::Answered { status: 429 | 503, .. } => &mut counts.refused,
+                RequestEnd::Answered { .. } => &mut counts.failed,
+                RequestEnd::Left { .. } => &mut counts.left,
+                RequestEnd::NotTaken => &mut counts.not_taken,
+                RequestEnd::Broken { .. } | RequestEnd::Silent => &mut counts.unanswered,
+            };
+            *kind += 1;
+        }
+        counts
+    }
+}
+
+/// Everybody who takes part.
+struct Stage {
+    recorder: Arc<Recorder>,
+    registry: Registry,
+    servers: Vec<LeafServer>,
+    mixers: Vec<Mixer>,
+    front: Arc<Front>,
+    length_s: f64,
+    /// Faults of one kind that hold at the same time: the last one to end takes it back.
+    discovery_down: AtomicUsize,
+    clients_leave: AtomicUsize,
+}
+
+/// A mixer, and the address of discovery that its configuration names now.
+struct Mixer {
+    process: MixerProcess,
+    /// Held while its process is changed: kills, restarts and stops of one mixer come one after the other.
+    changing: Mutex<()>,
+    discovery: AtomicUsize,
+}
+
+impl Mixer {
+    fn change(&self) -> MutexGuard<'_, ()> {
+        crate::standin::lock(&self.changing)
+    }
+}
+
+/// Plays a plan. Logs of the mixers go to that folder.
+pub fn play(plan: &Plan, folder: &Path) -> io::Result<(History, Outcome)> {
+    std::fs::create_dir_all(folder)?;
+    let stage = Arc::new(Stage::set(plan, folder)?);
+    stage.open();
+    let clients: Vec<_> = (0..plan.terms.mixers * CLIENTS_EACH)
+        .map(|client| {
+            let front = stage.front.clone();
+            std::thread::spawn(move || front.run_client(client / CLIENTS_EACH))
+        })
+        .collect();
+    let faults: Vec<_> = plan
+        .faults
+        .iter()
+        .map(|planned| {
+            let (stage, planned) = (stage.clone(), planned.clone());
+            std::thread::spawn(move || stage.inflict(&planned))
+        })
+        .collect();
+    while stage.recorder.now() < plan.terms.length_s {
+        stage.look();
+        std::thread::sleep(TICK);
+    }
+    stage.front.is_over.store(true, Ordering::Relaxed);
+    faults.into_iter().for_each(|thread| drop(thread.join()));
+    clients.into_iter().for_each(|thread| drop(thread.join()));
+    std::thread::sleep(Duration::from_secs_f64(LAST_REQUESTS_S));
+    stage.mixers.iter().for_each(|mixer| mixer.process.note_guard());
+    let history = stage.recorder.history();
+    let outcome = outcome(plan, &history);
+    Ok((history, outcome))
+}
+
+fn outcome(plan: &Plan, history: &History) -> Outcome {
+    let quiet_from = plan.faults.iter().map(fault_ends_at).fold(0.0, f64::max);
+    let last_s = (plan.terms.length_s - 2.0).max(quiet_from.min(plan.terms.length_s - 1.0));
+    let last = RequestCounts::of(history.requests.iter().filter(|request| request.at > last_s));
+    let stops = history.processes.iter().map(|record| match record.event {
+        ProcessEvent::Stops(count) => count,
+        _ => 0,
+    });
+    Outcome {
+        violations: Judge::judge(history, &plan.terms),
+        requests: RequestCounts::of(history.requests.iter()),
+        served_at_the_end: last.served as f64 / (last.all - last.left).max(1) as f64,
+        calls: history.calls.len(),
+        stops: stops.sum(),
+    }
+}
+
+/// When a fault is over (seconds).
+fn fault_ends_at(planned: &Planned) -> f64 {
+    let lasts_s = match &planned.fault {
+        Fault::Kill { down_s, .. } | Fault::KillMany { down_s, .. } => *down_s,
+        Fault::Stop { for_s, .. }
+        | Fault::DiscoveryDown { for_s }
+        | Fault::DiscoveryHangs { for_s, .. }
+        | Fault::DiscoverySlow { for_s, .. }
+        | Fault::AnswersCut { for_s }
+        | Fault::ServerHangs { for_s, .. }
+        | Fault::ServerResets { for_s, .. }
+        | Fault::ServerFull { for_s, .. }
+        | Fault::ClientsLeave { for_s } => *for_s,
+        Fault::Drain { back_s, .. } | Fault::Die { back_s, .. } => *back_s,
+        Fault::Terminate { .. } | Fault::Move { .. } | Fault::WatchesSilent | Fault::WatchesReset => 0.0,
+    };
+    planned.at + lasts_s
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
+impl Stage {
+    fn set(plan: &Plan, folder: &Path) -> io::Result<Stage> {
+        let recorder = Arc::new(Recorder::default());
+        let servers: Vec<LeafServer> = (0..plan.servers)
+            .map(|number| LeafServer::start(number, &recorder))
+            .collect::<io::Result<_>>()?;
+        let listed = servers.iter().enumerate().map(|(number, server)| ListedServer {
+            name: format!("s{number}"),
+            address: server.address,
+            cell: plan.cell(number),
+            phase: ServerPhase::Ready,
+            up_since_ms: 0,
+        });
+        let registry = Registry::start(listed.collect(), plan.terms.mixers, &recorder)?;
+        let mixers: Vec<Mixer> = (0..plan.terms.mixers)
+            .map(|number| {
+                let process = MixerProcess::new(number, plan, folder, &recorder)?;
+                Ok(Mixer { process, changing: Mutex::default(), discovery: AtomicUsize::default() })
+            })
+            .collect::<io::Result<_>>()?;
+        let addresses = mixers.iter().map(|mixer| mixer.process.address()).collect();
+        let front = Arc::new(Front::new(addresses, plan.cells * 2, recorder.clone()));
+        let (discovery_down, clients_leave) = (AtomicUsize::default(), AtomicUsize::default());
+        let length_s = plan.terms.length_s;
+        Ok(Stage { recorder, registry, servers, mixers, front, length_s, discovery_down, clients_leave })
+    }
+
+    /// Starts all mixers.
+    fn open(&self) {
+        for number in 0..self.mixers.len() {
+            self.start(number);
+        }
+    }
+
+    fn start(&self, number: usize) {
+        let mixer = &self.mixers[number];
+        let address = self.registry.addresses[number][mixer.discovery.load(Ordering::Relaxed)];
+        if let Err(error) = mixer.process.start(address, &self.registry.known(number)) {
+            eprintln!("soak: m{number} can't be started: {error}");
+            self.recorder.process(number, ProcessEvent::Crashed);
+        }
+    }
+
+    /// Notes processes that have ended by themselves, and leads clients to those that are ready.
+    fn look(&self) {
+        for (number, mixer) in self.mixers.iter().enumerate() {
+            // One that is just being changed is looked at next time.
+            let Ok(_changing) = mixer.changing.try_lock() else { continue };
+            mixer.process.look();
+            let door = &self.front.doors[number];
+            if mixer.process.runs() && !door.is_open.load(Ordering::Relaxed) && mixer.process.is_ready() {
+                self.recorder.process(number, ProcessEvent::Ready);
+                door.takes_new.store(true, Ordering::Relaxed);
+                door.is_open.store(true, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// The front sends no new clients there.
+    fn close_door(&self, number: usize) {
+        let door = &self.front.doors[number];
+        door.is_open.store(false, Ordering::Relaxed);
+        door.takes_new.store(false, Ordering::Relaxed);
+    }
+
+    fn sleep(&self, seconds: f64) {
+        std::thread::sleep(Duration::from_secs_f64(seconds.max(0.0)));
+    }
+
+    fn inflict(&self, planned: &Planned) {
+        self.sleep(planned.at - self.recorder.now());
+        match &planned.fault {
+            Fault::Kill { mixer, down_s } => self.kill(*mixer, *down_s),
+            Fault::KillMany { mixers, down_s } => std::thread::scope(|scope| {
+                mixers.iter().for_each(|mixer| drop(scope.spawn(|| self.kill(*mixer, *down_s))));
+            }),
+            Fault::Terminate { mixer } => self.terminate(*mixer),
+            Fault::Stop { mixer, for_s } => self.stop(*mixer, *for_s),
+            Fault::Move { mixer } => self.move_discovery(*mixer),
+            Fault::DiscoveryDown { for_s } => self.discovery_down(*for_s),
+            Fault::DiscoveryHangs { mixers, for_s } => self.discovery_hangs(mixers, *for_s),
+            Fault::DiscoverySlow { by_s, for_s } => {
+                self.registry.set_delay(*by_s);
+                self.sleep(*for_s);
+                self.registry.set_delay(0.0);
+            }
+            Fault::AnswersCut { for_s } => {
+                // What is cut off can't be told; by the terms it counts later.
+                let from = self.recorder.now();
+                self.registry.set_cuts(true);
+                self.sleep(*for_s);
+                self.registry.set_cuts(false);
+                self.registry.was_unreachable(None, from);
+            }
+            Fault::WatchesSilent => self.registry.silence_watches(),
+            Fault::WatchesReset => self.registry.reset_watches(),
+            Fault::Drain { server, gone_s, back_s } => self.drain(*server, *gone_s, *back_s),
+            Fault::Die { servers, noticed_s, back_s } => self.die(servers, *noticed_s, *back_s),
+            Fault::ServerHangs { server, for_s } => {
+                self.trouble(*server, *for_s, |behavior, on| behavior.hangs = on);
+            }
+            Fault::ServerResets { server, for_s } => {
+                self.trouble(*server, *for_s, |behavior, on| behavior.resets = on);
+            }
+            Fault::ServerFull { server, for_s } => {
+                self.trouble(*server, *for_s, |behavior, on| behavior.is_full = on);
+            }
+            Fault::ClientsLeave { for_s } => self.clients_leave(*for_s),
+        }
+    }
+
+    fn kill(&self, number: usize, down_s: f64) {
+        let mixer = &self.mixers[number];
+        let _changing = mixer.change();
+        if !mixer.process.runs() {
+            return;
+        }
+        // The front goes on to lead clients there until it has noticed; nobody accepts them.
+        mixer.process.kill();
+        self.close_door(number);
+        self.sleep(down_s.min(self.length_s - self.recorder.now() - 1.0));
+        self.start(number);
+    }
+
+    fn terminate(&self, number: usize) {
+        let mixer = &self.mixers[number];
+        let _changing = mixer.change();
+        let door = &self.front.doors[number];
+        // Clients go on with what they have, and new connections still come for a while.
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                self.sleep(NOTICED_S);
+                door.takes_new.store(false, Ordering::Relaxed);
+                door.is_open.store(false, Ordering::Relaxed);
+            });
+            if let Err(error) = mixer.process.terminate() {
+                eprintln!("soak: m{number}: {error}");
+            }
+        });
+        self.start(number);
+    }
+
+    fn stop(&self, number: usize, for_s: f64) {
+        let mixer = &self.mixers[number];
+        let _changing = mixer.change();
+        if !mixer.process.runs() {
+            return;
+        }
+        self.recorder.process(number, ProcessEvent::Stopped);
+        let stopped = mixer.process.signal(Signal::Stop);
+        self.sleep(for_s);
+        self.recorder.process(number, ProcessEvent::Continued);
+        let continued = mixer.process.signal(Signal::Continue);
+        if let Err(error) = stopped.and(continued) {
+            eprintln!("soak: m{number}: {error}");
+        }
+    }
+
+    fn move_discovery(&self, number: usize) {
+        let mixer = &self.mixers[number];
+        let _changing = mixer.change();
+        let place = (mixer.discovery.load(Ordering::Relaxed) + 1) % ADDRESSES_EACH;
+        mixer.discovery.store(place, Ordering::Relaxed);
+        if mixer.process.runs() {
+            let known = self.registry.known(number);
+            if let Err(error) = mixer.process.move_to(self.registry.addresses[number][place], &known) {
+                eprintln!("soak: m{number}: {error}");
+            }
+        }
+    }
+
+    fn discovery_down(&self, for_s: f64) {
+        let from = self.recorder.now();
+        self.discovery_down.fetch_add(1, Ordering::Relaxed);
+        self.registry.set_down(true);
+        self.sleep(for_s);
+        if self.discovery_down.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.registry.set_down(false);
+        }
+        self.registry.was_unreachable(None, from);
+    }
+
+    fn discovery_hangs(&self, mixers: &[usize], for_s: f64) {
+        let from = self.recorder.now();
+        self.registry.set_hanging(mixers, true);
+        self.sleep(for_s);
+        self.registry.set_hanging(mixers, false);
+        self.registry.was_unreachable(Some(mixers), from);
+    }
+
+    fn drain(&self, server: usize, gone_s: f64, back_s: f64) {
+        self.registry.change(&[server], |line| line.phase = ServerPhase::Draining);
+        self.sleep(gone_s);
+        self.servers[server].behave(|behavior| behavior.is_dead = true);
+        self.registry.change(&[server], |line| line.phase = ServerPhase::Gone);
+        self.sleep(back_s - gone_s);
+        self.bring_back(&[server]);
+    }
+
+    fn die(&self, servers: &[usize], noticed_s: f64, back_s: f64) {
+        servers.iter().for_each(|server| self.servers[*server].behave(|behavior| behavior.is_dead = true));
+        self.sleep(noticed_s);
+        self.registry.change(servers, |line| line.phase = ServerPhase::Gone);
+        self.sleep(back_s - noticed_s);
+        self.bring_back(servers);
+    }
+
+    fn bring_back(&self, servers: &[usize]) {
+        servers.iter().for_each(|server| self.servers[*server].behave(|behavior| behavior.is_dead = false));
+        let up_since_ms = unix_ms();
+        self.registry.change(servers, |line| {
+            (line.phase, line.up_since_ms) = (ServerPhase::Ready, up_since_ms);
+        });
+    }
+
+    fn trouble(&self, server: usize, for_s: f64, set: impl Fn(&mut Behavior, bool)) {
+        self.servers[server].behave(|behavior| set(behavior, true));
+        self.sleep(for_s);
+        self.servers[server].behave(|behavior| set(behavior, false));
+    }
+
+    fn clients_leave(&self, for_s: f64) {
+        self.clients_leave.fetch_add(1, Ordering::Relaxed);
+        self.front.clients_leave.store(true, Ordering::Relaxed);
+        self.sleep(for_s);
+        if self.clients_leave.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.front.clients_leave.store(false, Ordering::Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wharfhub-lab/src/soak/servers.rs
@@ -0,0 +1,241 @@
+//! The leaf servers of a soak: they read at once and note what comes, answer after some milliseconds, and fail as told.
+//!
+//! A thread for each connection reads, one for each server answers. This file must never decide which fault comes when.
+
+use super::history::{PartCall, Recorder};
+use crate::standin::lock;
+use rand::Rng;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+/// Time that a part takes, at least and at most (milliseconds).
+const SERVICE_MS: (u64, u64) = (2, 25);
+/// Odds that a call on a server that resets connections meets a reset.
+const RESET_ODDS: f64 = 0.3;
+/// Odds that a server that is full turns a part away.
+const FULL_ODDS: f64 = 0.5;
+/// How often the listener looks whether its server is alive.
+const ACCEPT_TICK: Duration = Duration::from_millis(2);
+const MAX_FRAME_BYTES: usize = 1 << 20;
+
+/// How a server behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Behavior {
+    /// Its process does not run.
+    pub is_dead: bool,
+    /// It answers nothing.
+    pub hangs: bool,
+    /// It resets connections under its calls.
+    pub resets: bool,
+    /// It turns work away.
+    pub is_full: bool,
+}
+
+/// An answer that is due, in order of time.
+struct Answer {
+    due: Instant,
+    bytes: Vec<u8>,
+    stream: Arc<Mutex<TcpStream>>,
+}
+
+impl PartialEq for Answer {
+    fn eq(&self, other: &Answer) -> bool {
+        self.due == other.due
+    }
+}
+impl Eq for Answer {}
+impl PartialOrd for Answer {
+    fn partial_cmp(&self, other: &Answer) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Answer {
+    fn cmp(&self, other: &Answer) -> std::cmp::Ordering {
+        self.due.cmp(&other.due)
+    }
+}
+
+#[derive(Default)]
+struct State {
+    behavior: Behavior,
+    connections: Vec<TcpStream>,
+    answers: BinaryHeap<Reverse<Answer>>,
+}
+
+struct Inside {
+    number: usize,
+    state: Mutex<State>,
+    changed: Condvar,
+    recorder: Arc<Recorder>,
+}
+
+/// A server. Its threads end with the process.
+pub struct LeafServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    inside: Arc<Inside>,
+}
+
+impl LeafServer {
+    /// Starts one.
+    pub fn start(number: usize, recorder: &Arc<Recorder>) -> io::Result<LeafServer> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let (state, changed, recorder) = (Mutex::default(), Condvar::new(), recorder.clone());
+        let inside = Arc::new(Inside { number, state, changed, recorder });
+        let (accepting, answering) = (inside.clone(), inside.clone());
+        std::thread::spawn(move || accepting.accept(listener, address));
+        std::thread::spawn(move || answering.answer());
+        Ok(LeafServer { address, inside })
+    }
+
+    /// Behaves otherwise from now on.
+    pub fn behave(&self, change: impl FnOnce(&mut Behavior)) {
+        let mut state = lock(&self.inside.state);
+        change(&mut state.behavior);
+        if state.behavior.is_dead {
+            state.answers.clear();
+            for connection in state.connections.drain(..) {
+                let _ = connection.shutdown(Shutdown::Both);
+            }
+        }
+        self.inside.changed.notify_all();
+    }
+}
+
+impl Inside {
+    /// Accepts while the server is alive; its port is closed meanwhile.
+    fn accept(self: Arc<Inside>, listener: TcpListener, address: SocketAddr) {
+        let mut listener = Some(listener);
+        loop {
+            let is_dead = lock(&self.state).behavior.is_dead;
+            if is_dead {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(address).ok();
+            }
+            if let Some(open) = &listener {
+                let _ = open.set_nonblocking(true);
+                while let Ok((stream, _)) = open.accept() {
+                    let inside = self.clone();
+                    // What can't be used ends its connection.
+                    std::thread::spawn(move || inside.serve(stream));
+                }
+            }
+            std::thread::sleep(ACCEPT_TICK);
+        }
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nonblocking(false)?;
+        stream.set_nodelay(true)?;
+        let out = Arc::new(Mutex::new(stream.try_clone()?));
+        lock(&self.state).connections.push(stream.try_clone()?);
+        let mut length = [0; 4];
+        loop {
+            stream.read_exact(&mut length)?;
+            let length = u32::from_be_bytes(length) as usize;
+            if length == 0 || length > MAX_FRAME_BYTES {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            let mut frame = vec![0; length];
+            stream.read_exact(&mut frame)?;
+            if frame[0] == b'q' {
+                self.take_call(&frame[1..], &out)?;
+            }
+        }
+    }
+
+    /// Notes each part of a call and puts its answer off until it is due.
+    fn take_call(&self, frame: &[u8], out: &Arc<Mutex<TcpStream>>) -> io::Result<()> {
+        let at = self.recorder.now();
+        let behavior = lock(&self.state).behavior;
+        if behavior.is_dead {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        let mut rng = rand::rng();
+        let resets = behavior.resets && rng.random_bool(RESET_ODDS);
+        for part in parts(frame).ok_or(io::ErrorKind::InvalidData)? {
+            let is_full = behavior.is_full && rng.random_bool(FULL_ODDS);
+            let mixer = mixer_of(&part.request).ok_or(io::ErrorKind::InvalidData)?;
+            let PartLine { request, shard, told_wait_s } = part;
+            let end = if is_full { "skipped" } else { "served" };
+            let answer = format!("a{request}.{shard} {end} 1 -\nv");
+            let call =
+                PartCall { mixer, request, shard, server: self.number, at, told_wait_s, never_ran: is_full };
+            self.recorder.record(|history| history.calls.push(call));
+            let mut bytes = (answer.len() as u32).to_be_bytes().to_vec();
+            bytes.extend_from_slice(answer.as_bytes());
+            let service = Duration::from_millis(rng.random_range(SERVICE_MS.0..SERVICE_MS.1));
+            if !behavior.hangs && !resets {
+                let due = Instant::now() + service;
+                lock(&self.state).answers.push(Reverse(Answer { due, bytes, stream: out.clone() }));
+                self.changed.notify_all();
+            }
+        }
+        if resets {
+            let _ = lock(out).shutdown(Shutdown::Both);
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        Ok(())
+    }
+
+    /// Writes answers when they are due.
+    fn answer(&self) {
+        let mut state = lock(&self.state);
+        loop {
+            let now = Instant::now();
+            match state.answers.peek().map(|Reverse(first)| first.due) {
+                Some(due) if due <= now => {
+                    if let Some(Reverse(answer)) = state.answers.pop() {
+                        // Whoever asked may have gone.
+                        let _ = lock(&answer.stream).write_all(&answer.bytes);
+                    }
+                }
+                Some(due) => {
+                    let wait = due - now;
+                    state =
+                        self.changed.wait_timeout(state, wait).unwrap_or_else(|broken| broken.into_inner()).0;
+                }
+                None => state = self.changed.wait(state).unwrap_or_else(|broken| broken.into_inner()),
+            }
+        }
+    }
+}
+
+/// A part as its line in a call says.
+struct PartLine {
+    request: String,
+    shard: u32,
+    told_wait_s: f64,
+}
+
+/// Takes a call apart: for each part a line, and so many bytes of text as it says.
+fn parts(mut rest: &[u8]) -> Option<Vec<PartLine>> {
+    let mut found = Vec::new();
+    while !rest.is_empty() {
+        let end = rest.iter().position(|byte| *byte == b'\n')?;
+        let line = std::str::from_utf8(&rest[..end]).ok()?;
+        let words: Vec<&str> = line.split(' ').collect();
+        let [id, shard, list, length] = words[..] else { return None };
+        let (request, _) = id.rsplit_once('.')?;
+        let wait_ms = list.split(',').find_map(|pair| pair.strip_prefix("d="))?.parse::<f64>().ok()?;
+        let length: usize = length.parse().ok()?;
+        rest = rest.get(end + 1 + length..)?;
+        found.push(PartLine {
+            request: request.to_string(),
+            shard: shard.parse().ok()?,
+            told_wait_s: wait_ms / 1000.0,
+        });
+    }
+    Some(found)
+}
+
+/// Requests bear the number of their mixer in their names: `m7-...`.
+fn mixer_of(request: &str) -> Option<usize> {
+    request.strip_prefix('m')?.split('-').next()?.parse().ok()
+}
--- /dev/null
+++ b/crates/wharfhub-lab/tests/soak.rs
@@ -0,0 +1,183 @@
+//! The soak's judge catches a planted fault of each kind, and its plans follow from their seeds.
+
+use rstest::rstest;
+use wharfhub_lab::soak::history::{
+    History, PartCall, ProcessEvent, ProcessRecord, Request, RequestEnd, ServerPhase, Told, Unreachable,
+    Version,
+};
+use wharfhub_lab::soak::judge::{Judge, Rule};
+use wharfhub_lab::soak::plan::{Plan, Terms};
+
+const TERMS: Terms = Terms { mixers: 2, drain_grace_s: 0.5, window_s: 1.0, length_s: 60.0 };
+/// When server 0 is taken off the list.
+const DRAINED_AT: f64 = 10.0;
+
+fn record(mixer: usize, at: f64, event: ProcessEvent) -> ProcessRecord {
+    ProcessRecord { mixer, at, event }
+}
+
+/// Two mixers that started at 0 and are ready; server 0 drains from 10 on, and only mixer 1 was told so.
+fn history() -> History {
+    let version = |at: f64, phase: ServerPhase| Version { at, phases: vec![phase, ServerPhase::Ready] };
+    History {
+        versions: vec![version(0.0, ServerPhase::Ready), version(DRAINED_AT, ServerPhase::Draining)],
+        told: vec![
+            Told { mixer: 0, at: 0.1, version: 0 },
+            Told { mixer: 1, at: 0.1, version: 0 },
+            Told { mixer: 1, at: DRAINED_AT + 0.01, version: 1 },
+        ],
+        processes: (0..2)
+            .flat_map(|mixer| {
+                [record(mixer, 0.0, ProcessEvent::Started), record(mixer, 1.0, ProcessEvent::Ready)]
+            })
+            .collect(),
+        ..History::default()
+    }
+}
+
+fn call(mixer: usize, server: usize, at: f64) -> PartCall {
+    let request = format!("m{mixer}-1");
+    PartCall { mixer, request, shard: 3, server, at, told_wait_s: 0.5, never_ran: false }
+}
+
+fn request(mixer: usize, at: f64, end: RequestEnd) -> Request {
+    Request { id: format!("m{mixer}-1"), mixer, at, wait_s: 0.8, keyed: true, broke_on_kept_at: None, end }
+}
+
+fn served(at: f64) -> RequestEnd {
+    RequestEnd::Answered { at, status: 200 }
+}
+
+fn broken(history: &History) -> Vec<Rule> {
+    Judge::judge(history, &TERMS).into_iter().map(|violation| violation.rule).collect()
+}
+
+#[test]
+fn a_sound_history_breaks_nothing() {
+    let mut history = history();
+    history.calls = vec![call(1, 0, DRAINED_AT + 0.4), call(1, 1, 40.0), call(0, 0, DRAINED_AT + 6.4)];
+    history.requests = vec![request(0, DRAINED_AT + 6.3, served(DRAINED_AT + 6.5))];
+    assert_eq!(broken(&history), []);
+}
+
+/// Told when the answer was written, or 6 s after discovery had it and could be reached.
+#[rstest]
+#[case::told(1, DRAINED_AT + 0.7, true)]
+#[case::deemed_told(0, DRAINED_AT + 6.7, true)]
+#[case::not_told_yet(0, DRAINED_AT + 6.4, false)]
+fn a_send_to_a_server_that_drains(#[case] mixer: usize, #[case] at: f64, #[case] is_broken: bool) {
+    let mut history = history();
+    history.calls = vec![call(mixer, 0, at)];
+    assert_eq!(broken(&history), if is_broken { vec![Rule::Drain] } else { vec![] });
+}
+
+#[test]
+fn what_can_not_be_told_counts_from_the_return_of_discovery() {
+    let mut history = history();
+    history.unreachable = vec![Unreachable { mixer: None, from: DRAINED_AT + 2.0, to: DRAINED_AT + 9.0 }];
+    history.calls = vec![call(0, 0, DRAINED_AT + 15.0)];
+    assert_eq!(broken(&history), []);
+    history.calls = vec![call(0, 0, DRAINED_AT + 15.7)];
+    assert_eq!(broken(&history), [Rule::Drain]);
+}
+
+/// As in incident 1: the change was made while the mixer was down, and counts as told soon after its start.
+#[test]
+fn a_restarted_mixer_counts_as_told_of_what_it_missed() {
+    let mut history = history();
+    history.processes.extend([
+        record(0, DRAINED_AT - 3.0, ProcessEvent::Killed),
+        record(0, DRAINED_AT + 2.0, ProcessEvent::Started),
+        record(0, DRAINED_AT + 2.1, ProcessEvent::Ready),
+    ]);
+    history.calls = vec![call(0, 0, DRAINED_AT + 6.3)];
+    assert_eq!(broken(&history), []);
+    history.calls = vec![call(0, 0, DRAINED_AT + 6.7)];
+    assert_eq!(broken(&history), [Rule::Drain]);
+}
+
+#[test]
+fn an_attempt_for_a_client_that_left() {
+    let mut history = history();
+    history.requests = vec![request(0, 5.0, RequestEnd::Left { at: 5.2 })];
+    history.calls = vec![call(0, 1, 5.25)];
+    assert_eq!(broken(&history), []);
+    history.calls = vec![call(0, 1, 5.4)];
+    assert_eq!(broken(&history), [Rule::ClientGone]);
+}
+
+#[rstest]
+#[case::closed(RequestEnd::Broken { at: 5.1 })]
+#[case::silent(RequestEnd::Silent)]
+fn a_request_without_an_answer(#[case] end: RequestEnd) {
+    let mut history = history();
+    history.requests = vec![request(0, 5.0, end)];
+    assert_eq!(broken(&history), [Rule::Lost]);
+    history.processes.push(record(0, 5.05, ProcessEvent::Killed));
+    assert_eq!(broken(&history), [], "its mixer was killed");
+}
+
+#[test]
+fn a_request_that_was_read_and_whose_kept_connection_closed() {
+    let mut history = history();
+    history.requests = vec![Request { broke_on_kept_at: Some(5.2), ..request(0, 5.2, served(5.4)) }];
+    history.calls = vec![call(0, 1, 5.3)];
+    assert_eq!(broken(&history), [], "it was sent once more");
+    history.calls = vec![call(0, 1, 5.1)];
+    assert_eq!(broken(&history), [Rule::Lost]);
+}
+
+#[test]
+fn a_repeat_beyond_its_window() {
+    let mut history = history();
+    history.requests = vec![Request { wait_s: 3.0, ..request(0, 5.0, served(7.0)) }];
+    history.calls = vec![call(0, 1, 5.0), call(0, 1, 6.0)];
+    assert_eq!(broken(&history), []);
+    history.calls.push(call(0, 1, 6.3));
+    assert_eq!(broken(&history), [Rule::Duplicate]);
+    history.calls[0].never_ran = true;
+    assert_eq!(broken(&history), [], "the window begins with the first that may have run");
+}
+
+#[test]
+fn a_server_that_is_told_to_work_for_longer_than_its_client_waits() {
+    let mut history = history();
+    history.requests = vec![request(0, 5.0, served(5.7))];
+    history.calls = vec![call(0, 1, 5.4)];
+    assert_eq!(broken(&history), []);
+    history.calls = vec![call(0, 1, 5.6)];
+    assert_eq!(broken(&history), [Rule::ToldWait]);
+}
+
+#[test]
+fn processes_that_crash_or_are_not_ready_and_guards_that_count() {
+    let mut history = history();
+    history.processes.extend([
+        record(0, 20.0, ProcessEvent::Crashed),
+        record(0, 21.0, ProcessEvent::Started),
+        record(1, 30.0, ProcessEvent::Violations(2)),
+    ]);
+    assert_eq!(broken(&history), [Rule::Process, Rule::Guard, Rule::Process]);
+}
+
+/// A process that stood still has to ask before it acts.
+#[test]
+fn a_pause_excuses_no_send() {
+    let mut history = history();
+    history.processes.extend([
+        record(1, DRAINED_AT - 0.1, ProcessEvent::Stopped),
+        record(1, DRAINED_AT + 3.0, ProcessEvent::Continued),
+    ]);
+    history.calls = vec![call(1, 0, DRAINED_AT + 3.01)];
+    assert_eq!(broken(&history), [Rule::Drain]);
+}
+
+#[test]
+fn plans_follow_from_their_seeds() {
+    for seed in 0..50 {
+        let plan = Plan::draw(seed, false);
+        assert!((10..=40).contains(&plan.terms.mixers));
+        assert_eq!(format!("{plan:?}"), format!("{:?}", Plan::draw(seed, false)));
+        assert!(plan.faults.iter().all(|planned| planned.at < plan.terms.length_s));
+    }
+}
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -468,11 +468,13 @@
 
     /// Hands a request to the core. Held from here on; its answer may be among the commands already.
     /// A client that has closed its side behind the request has gone: nothing is begun for it.
-    pub(super) fn hold(&mut self, key: ConnKey, asked: Asked, context: Option<opensearch::Context>) {
+    pub(super) fn hold(&mut self, key: ConnKey, mut asked: Asked, context: Option<opensearch::Context>) {
         let Some(Conn::Client(client)) = self.conns.get_mut(key) else { return };
         if client.ended || matches!(client.stream.peek(&mut [0]), Ok(0)) {
             return self.close_client(key, CloseReason::ClientClosed);
         }
+        // It may have come right after the loop last looked: its client waits for so much less.
+        asked.wait_s = (asked.wait_s - (self.now - self.previous_turn_at)).max(0.0);
         self.list_needed();
         let request = self.core.take(self.now, asked, key.data().as_ffi(), &mut self.commands);
         if let Some(Conn::Client(client)) = self.conns.get_mut(key) {
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -94,8 +94,12 @@
         }
         withdrawn.extend(leaf.withdraw_late(self.now));
         let (now, guard) = (self.now, self.core.guard_mut());
-        let may_begin =
-            |call: &CallTimes| guard.check_destination(now, &to).and(guard.check_call(now, call)).is_ok();
+        let mut stopped_by = None;
+        let may_begin = |call: &CallTimes| {
+            let verdict = guard.check_destination(now, &to).and(guard.check_call(now, call));
+            stopped_by = verdict.err().or(stopped_by);
+            verdict.is_ok()
+        };
         let flushed = match leaf.stuck_late(now) {
             true => Err(io::Error::other("a repeat is stuck beyond its window")),
             false => leaf.flush(may_begin, &mut withdrawn),
@@ -105,6 +109,10 @@
         }
         let begun_calls = std::mem::take(&mut leaf.begun_calls);
         self.verify_calls(&to, &begun_calls);
+        if let Some(rule) = stopped_by {
+            let (rule, count) = (rule.label(), withdrawn.len());
+            self.log(&format!("guard: stopped {rule}: {count} parts did not leave, {to:?}"));
+        }
         for attempt in withdrawn {
             self.flights.remove(attempt);
             self.core.ended(self.now, attempt, Outcome::Moot, None, &mut self.commands);
