--- a/src/core.rs
+++ b/src/core.rs
@@ -698,7 +698,14 @@
                 in_flight: part.attempts.iter().flatten().count(),
                 copies_allowed: self.deployment.policy.second_copies,
             };
-            within_limit && (number == 0 || self.guard.check_repeat(now, &repeat).is_ok())
+            let verdict = if number == 0 { Ok(()) } else { self.guard.check_repeat(now, &repeat) };
+            if let Err(rule) = verdict {
+                let (id, rule) = (&request.asked.id, rule.label());
+                out.push(Command::Log(format!(
+                    "guard: stopped {rule}: attempt {number} of {id}, {repeat:?}"
+                )));
+            }
+            within_limit && verdict.is_ok()
         };
         let Some(request) = request.filter(may_leave) else {
             // Nothing leaves for a part that is over or has used up its attempts.
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -134,7 +134,10 @@
         let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return Vec::new() };
         let mut unwanted = leaf.waiting_attempts();
         unwanted.retain(|attempt| !self.core.is_wanted(*attempt) && leaf.unsend(*attempt));
-        unwanted.iter().for_each(|_| self.core.guard_mut().stop(Rule::ClientGone));
+        for _ in &unwanted {
+            self.core.guard_mut().stop(Rule::ClientGone);
+            self.log("guard: stopped client_gone: a part that nobody waits for did not leave");
+        }
         unwanted
     }
 
@@ -147,6 +150,7 @@
             return Ok(());
         }
         self.core.guard_mut().stop(Rule::ClientGone);
+        self.log("guard: stopped client_gone: a call that is stuck half-way does not arrive");
         Err(io::Error::other("a call is stuck whose client has gone"))
     }
 
