--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod api;
 pub mod choices;
 pub mod core;
+mod decisions;
 pub mod figures;
 pub mod guard;
 mod held;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,6 +8,7 @@
 use crate::choices::progress::{share, Group, Progress};
 use crate::choices::stragglers::{AttemptId, Stragglers};
 use crate::choices::{congestion::Congestion, watch_schedule::WatchSchedule};
+use crate::decisions::{draining, slow_start, slow_start::Share};
 use crate::held::*;
 use crate::times::{self, Schedule};
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,10 +25,7 @@
 const COPY_AT: f64 = 0.5; // share of the aim after which a fleet's mixer sends a second copy
 const KEPT_FOR_FAILURES: f64 = 0.5; // share of the attempt ration that lateness leaves for failures
 const SILENCE: f64 = 2.0; // overdue times without an answer that bar
-const PARTING: f64 = 0.85; // share of the drain grace in which last holders that drain are still used
-const HELD_UP_S: f64 = 0.2; // of the drain grace, what news and sends take that are held up on their way
 const CROSSING: f64 = 4.0; // mixers beyond which one is a small part of the load
-const COLD_MARGIN: f64 = 0.9; // share of what would push a cold replica over that we may give it
 const RATE_S: f64 = 8.0; // window over which the aggregator's own sending rate is taken (seconds)
 const SCOUT: f64 = 0.5; // usual latencies that a scout is waited for at most
 const SUM_SLACK: f64 = 0.00005; // weights of a step add up to 1 but for rounding
@@ -522,17 +520,19 @@
 
     /// Replicas that hold a shard and that the rules let us send to now. Barred ones are left out, unless
     /// all are barred: a shard's last holders are never shut out. Where all drain, they are used while the
-    /// grace after being told lasts: guards against refusing what the next list may have a holder for. There are
-    /// none by a list that may not be acted on any more.
+    /// grace after being told lasts: guards against refusing what the next list may have a holder for. By a
+    /// list that may not be acted on there are none.
     fn holders(&self, shard: u32, class: usize) -> impl Iterator<Item = &Replica> {
         let in_force = self.now < self.list_until;
         let ready = |replica: &&Replica| {
             in_force && replica.entry.lifecycle == Lifecycle::Ready && !self.too_cold(replica)
         };
-        let grace = (PARTING * self.cfg.drain_grace_s).min(self.cfg.drain_grace_s - HELD_UP_S);
         let parting = |replica: &&Replica| {
             let drains = replica.entry.lifecycle == Lifecycle::Draining;
-            in_force && drains && self.now < replica.known.told_at + grace && !self.too_cold(replica)
+            in_force
+                && drains
+                && self.now < draining::usable_until(replica.known.told_at, self.cfg.drain_grace_s)
+                && !self.too_cold(replica)
         };
         let mut held: Vec<_> = self.all_holders(shard).filter(ready).collect();
         if held.is_empty() {
@@ -596,7 +596,8 @@
     /// by its least capacity, unless a lot keeps us from most of it already.
     fn expected_latency(&self, replica: &Replica) -> f64 {
         let capacity = self.capacity(replica);
-        let slower = if capacity < 1.0 && self.cold_share(capacity).is_err() { 1.0 } else { capacity };
+        let is_drawn = || matches!(self.cold_share(capacity), Share::ByDraw(_));
+        let slower = if capacity < 1.0 && is_drawn() { 1.0 } else { capacity };
         self.known_latency(replica).max(self.pace.average / slower)
     }
 
@@ -610,33 +611,20 @@
 
     /// The least share of its capacity that a replica has now.
     fn capacity(&self, replica: &Replica) -> f64 {
-        let since = replica.known.started_at;
-        if since <= 0.0 {
-            return 1.0;
-        }
-        let ramp = ((self.now - since) / self.cfg.cold_s.max(1e-3)).clamp(0.0, 1.0);
-        (self.cfg.cold_from + (1.0 - self.cfg.cold_from) * ramp).clamp(0.01, 1.0)
+        slow_start::capacity(&self.cfg, replica.known.started_at, self.now)
     }
 
-    /// Sends to a replica of this capacity that we may make in the window of the cold rule, by multiple of
-    /// the capacity and our own even load; as an error where they are too few but by lot.
-    fn cold_share(&self, capacity: f64) -> Result<f64, f64> {
+    /// Sends to a replica of this capacity that we may make in the window of the slow start rule.
+    fn cold_share(&self, capacity: f64) -> Share {
         let sent = self.past.sent.last().map_or(0, |last| times::since(&self.past.sent, last - RATE_S));
-        let even = sent as f64 / RATE_S / self.present as f64 * self.cfg.fall_s;
-        let share = COLD_MARGIN * self.cfg.fall_multiple * capacity * even;
-        if share >= 1.0 || self.cfg.aggregators < 2 {
-            Ok(share)
-        } else {
-            Err(share)
-        }
+        slow_start::own_share(&self.cfg, capacity, sent as f64 / RATE_S / self.present as f64)
     }
 
     /// Guards the cold replica rule: if all keep to their share, they stay under the limit together.
     fn too_cold(&self, replica: &Replica) -> bool {
         let capacity = self.capacity(replica);
         let recent = || times::since(&replica.known.sent, self.now - self.cfg.fall_s) as f64;
-        let room = || self.cold_share(capacity).unwrap_or_else(|share| share + replica.luck);
-        capacity < 1.0 && recent() + 1.0 > room()
+        capacity < 1.0 && recent() + 1.0 > self.cold_share(capacity).room(replica.luck)
     }
 
     /// Sends a wanted part, first or again, where every rule allows it. Says whether it did.
