Hold calls back where the loop was held up inside a turn, and bound request ages by a fresh clock

Now a request's age counts to a clock read anew, and calls that would leave in a turn that was held up for over 0.05 s leave in the next one, after discovery's news and the ends of clients.

--- a/crates/wharfhub-lab/src/experiments/soak.rs
+++ b/crates/wharfhub-lab/src/experiments/soak.rs
@@ -32,6 +32,7 @@
         outcome.calls.to_string(),
         format!("{:.3}", outcome.served_at_the_end),
         outcome.stops.to_string(),
+        format!("{:.2}", outcome.stalled_s),
         outcome.violations.len().to_string(),
     ]
 }
@@ -68,6 +69,7 @@
         "calls",
         "served at the end",
         "stops",
+        "stand-ins stalled s",
         "broken",
     ];
     let mut table = Table::new(&columns);
--- a/crates/wharfhub-lab/src/soak/history.rs
+++ b/crates/wharfhub-lab/src/soak/history.rs
@@ -4,7 +4,11 @@
 
 use crate::standin::lock;
 use std::sync::Mutex;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// How often the stand-ins look whether they stood still, and what counts as such.
+const STALL_TICK: Duration = Duration::from_millis(5);
+const MIN_STALL_S: f64 = 0.03;
 
 /// What discovery says of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -148,6 +152,15 @@
     pub event: ProcessEvent,
 }
 
+/// A time in which the stand-ins themselves stood still: what they noted then came earlier.
+#[derive(Clone, Copy, Debug)]
+pub struct Stall {
+    /// From when.
+    pub from: f64,
+    /// To when.
+    pub to: f64,
+}
+
 /// All that was seen.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -163,6 +176,8 @@
     pub requests: Vec<Request>,
     /// Processes.
     pub processes: Vec<ProcessRecord>,
+    /// Stalls of the stand-ins.
+    pub stalls: Vec<Stall>,
 }
 
 /// The history while it is written, and the clock of all who write.
@@ -183,6 +198,19 @@
         self.start.elapsed().as_secs_f64()
     }
 
+    /// Notes stalls of this process, until `is_over` says so: a thread that wants to run every few milliseconds and does not.
+    pub fn watch_stalls(&self, is_over: impl Fn() -> bool) {
+        let mut before = self.now();
+        while !is_over() {
+            std::thread::sleep(STALL_TICK);
+            let now = self.now();
+            if now - before > MIN_STALL_S {
+                self.record(|history| history.stalls.push(Stall { from: before, to: now }));
+            }
+            before = now;
+        }
+    }
+
     /// Writes something down.
     pub fn record(&self, write: impl FnOnce(&mut History)) {
         write(&mut lock(&self.history));
--- a/crates/wharfhub-lab/src/soak/judge.rs
+++ b/crates/wharfhub-lab/src/soak/judge.rs
@@ -5,7 +5,7 @@
 //! window only; servers are told to work no longer than clients wait; processes don't crash and are ready in time. This file
 //! must never look at anything but the history.
 
-use super::history::{History, PartCall, ProcessEvent, Request, RequestEnd, ServerPhase};
+use super::history::{History, PartCall, ProcessEvent, Request, RequestEnd, ServerPhase, Stall};
 use super::plan::Terms;
 use std::collections::BTreeMap;
 
@@ -219,11 +219,17 @@
         self.violations.push(Violation { rule, at, what });
     }
 
+    /// How long the stand-ins stood still in that time (seconds).
+    fn stalled_s(&self, from: f64, to: f64) -> f64 {
+        let inside = |stall: &Stall| (stall.to.min(to) - stall.from.max(from)).max(0.0);
+        self.history.stalls.iter().map(inside).sum()
+    }
+
     fn judge_drain(&mut self, call: &PartCall) {
         let process = self.told[call.mixer].iter().rfind(|told| told.started_at <= call.at);
         let since = process.and_then(|told| told.unready_since(self.history, call.server, call.at));
         let Some(since) = since else { return };
-        let late_s = call.at - since;
+        let late_s = call.at - since - self.stalled_s(since, call.at);
         if late_s <= self.terms.drain_grace_s + SLACK_S + NOTE_S {
             return;
         }
@@ -237,7 +243,7 @@
 
     fn judge_client(&mut self, call: &PartCall, request: &Request) {
         let RequestEnd::Left { at: left_at } = request.end else { return };
-        let late_s = call.at - left_at;
+        let late_s = call.at - left_at - self.stalled_s(left_at, call.at);
         if late_s <= AFTER_LEAVING_S + NOTE_S {
             return;
         }
@@ -251,7 +257,7 @@
 
     fn judge_told_wait(&mut self, call: &PartCall, request: &Request) {
         let left_s = request.at + request.wait_s - call.at;
-        let beyond_s = call.told_wait_s - left_s;
+        let beyond_s = call.told_wait_s - left_s - self.stalled_s(request.at, call.at);
         if beyond_s <= TOLD_WAIT_SLACK_S + NOTE_S {
             return;
         }
--- a/crates/wharfhub-lab/src/soak/processes.rs
+++ b/crates/wharfhub-lab/src/soak/processes.rs
@@ -16,6 +16,8 @@
 
 /// How often a process is looked at.
 const TICK: Duration = Duration::from_millis(20);
+/// A process listens within this time.
+const MAX_START: Duration = Duration::from_secs(2);
 /// A process that was told to end has done so within this time.
 const MAX_END: Duration = Duration::from_secs(8);
 /// What is read of the guard's counts.
@@ -152,6 +154,18 @@
         clients::get(self.address(), "/-/ready").is_ok_and(|(status, _)| status == 200)
     }
 
+    /// Waits until it answers; says whether it did.
+    pub fn await_listener(&self) -> bool {
+        let until = Instant::now() + MAX_START;
+        while clients::get(self.address(), "/-/healthy").is_err() {
+            if Instant::now() > until {
+                return false;
+            }
+            std::thread::sleep(TICK);
+        }
+        true
+    }
+
     /// Sends a signal to it, where it runs.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
         let Some(id) = lock(&self.child).as_ref().map(Child::id) else { return Ok(()) };
--- a/crates/wharfhub-lab/src/soak/run.rs
+++ b/crates/wharfhub-lab/src/soak/run.rs
@@ -37,6 +37,8 @@
     pub calls: usize,
     /// Acts that the mixers' guards stopped.
     pub stops: u64,
+    /// How long the stand-ins stood still themselves (seconds).
+    pub stalled_s: f64,
 }
 
 /// How requests ended.
@@ -115,6 +117,9 @@
             std::thread::spawn(move || front.run_client(client / CLIENTS_EACH))
         })
         .collect();
+    let front = stage.front.clone();
+    let recorder = stage.recorder.clone();
+    let watch = std::thread::spawn(move || recorder.watch_stalls(|| front.is_over.load(Ordering::Relaxed)));
     let faults: Vec<_> = plan
         .faults
         .iter()
@@ -130,6 +135,7 @@
     stage.front.is_over.store(true, Ordering::Relaxed);
     faults.into_iter().for_each(|thread| drop(thread.join()));
     clients.into_iter().for_each(|thread| drop(thread.join()));
+    drop(watch.join());
     std::thread::sleep(Duration::from_secs_f64(LAST_REQUESTS_S));
     stage.mixers.iter().for_each(|mixer| mixer.process.note_guard());
     let history = stage.recorder.history();
@@ -151,6 +157,7 @@
         served_at_the_end: last.served as f64 / (last.all - last.left).max(1) as f64,
         calls: history.calls.len(),
         stops: stops.sum(),
+        stalled_s: history.stalls.iter().map(|stall| stall.to - stall.from).sum(),
     }
 }
 
@@ -340,7 +347,8 @@
         let _changing = mixer.change();
         let place = (mixer.discovery.load(Ordering::Relaxed) + 1) % ADDRESSES_EACH;
         mixer.discovery.store(place, Ordering::Relaxed);
-        if mixer.process.runs() {
+        // Before its first instruction a process has no handler, and SIGHUP would end it, as any other.
+        if mixer.process.runs() && mixer.process.await_listener() {
             let known = self.registry.known(number);
             if let Err(error) = mixer.process.move_to(self.registry.addresses[number][place], &known) {
                 eprintln!("soak: m{number}: {error}");
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -474,7 +474,8 @@
             return self.close_client(key, CloseReason::ClientClosed);
         }
         // It may have come right after the loop last looked: its client waits for so much less.
-        asked.wait_s = (asked.wait_s - (self.now - self.previous_turn_at)).max(0.0);
+        let looked_at = if self.is_held_up() { self.clock.now() } else { self.now };
+        asked.wait_s = (asked.wait_s - (looked_at - self.previous_turn_at)).max(0.0);
         self.list_needed();
         let request = self.core.take(self.now, asked, key.data().as_ffi(), &mut self.commands);
         if let Some(Conn::Client(client)) = self.conns.get_mut(key) {
--- a/src/net/lease.rs
+++ b/src/net/lease.rs
@@ -8,7 +8,8 @@
 use crate::choices::list_lease::Basis;
 use mio::{Events, Token};
 
-/// A loop that was away from its poll for so long asks for discovery's news before it handles anything else (seconds).
+/// A loop that was away from its poll for so long asks for discovery's news before it handles anything else, and sends
+/// nothing before that (seconds). The drain grace that is used leaves room for it.
 const HELD_UP_S: f64 = 0.05;
 
 impl Mixer {
@@ -29,6 +30,22 @@
         heard
     }
 
+    /// Whether the loop has been held up since this turn began: what came meanwhile was not looked at yet.
+    pub(super) fn is_held_up(&self) -> bool {
+        self.clock.now() > self.now + HELD_UP_S
+    }
+
+    /// Calls that were held back in the turn before, in which the loop was held up: discovery's news have been taken now, and
+    /// clients that have gone.
+    pub(super) fn flush_held_back(&mut self) {
+        for key in std::mem::take(&mut self.held_back) {
+            if self.flush_leaf(key).is_err() {
+                self.leaf_event(key); // what it said before its end counts
+            }
+            self.settle();
+        }
+    }
+
     /// An answer to that call says that the list in use is true. It was written after the call was made, and after the
     /// loop last looked.
     pub(super) fn list_confirmed(&mut self, open: OpenCall) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -41,6 +41,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 use table::{came_up, Conn};
 use thiserror::Error;
 use timer_queue::{Deadline, TimerQueue};
@@ -133,6 +134,7 @@
     lease_logged: (Basis, bool), // and whether it was in force
     lease_due_at: f64,           // when it is looked at next
     previous_turn_at: f64,
+    held_back: Vec<ConnKey>, // connections to replicas whose calls leave in the next turn
     /// Whether it goes over to another discovery: the old list holds until the new one has told its own.
     going_over: bool,
     phase: Phase,
@@ -223,6 +225,7 @@
             lease_logged: (Basis::NoDiscovery, true),
             lease_due_at: f64::NAN,
             previous_turn_at: now,
+            held_back: Vec::new(),
             going_over: false,
             phase: Phase::Starting,
             sweep_at: 0.0,
@@ -287,7 +290,10 @@
     pub fn run(&mut self) -> Result<(), NetError> {
         let mut events = Events::with_capacity(256);
         while self.phase != Phase::Stopped {
-            let wait = self.timers.wait(self.clock.now());
+            let wait = match self.held_back.is_empty() {
+                true => self.timers.wait(self.clock.now()),
+                false => Some(Duration::ZERO),
+            };
             match self.poll.poll(&mut events, wait) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 result => result?,
@@ -303,6 +309,7 @@
             }
             let heard = self.hear_discovery(&events);
             self.heed_ends(&events);
+            self.flush_held_back();
             for event in &events {
                 match event.token() {
                     Token(style) if style < STYLES.len() => self.accept(STYLES[style]),
--- a/src/net/replicas.rs
+++ b/src/net/replicas.rs
@@ -86,6 +86,10 @@
         if leaf.idle_out() {
             return Ok(());
         }
+        if self.is_held_up() {
+            self.held_back.push(key);
+            return Ok(());
+        }
         let to = self.destination(leaf.replica);
         let mut withdrawn = self.withdraw_unwanted(key);
         let Some(Conn::Leaf(leaf)) = self.conns.get_mut(key) else { return Ok(()) };
