--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -20,24 +20,24 @@
     (listener, leaf)
 }
 
+/// A part of shard 3 that leaves in a call.
+fn call_part(attempt: AttemptKey, id: &str, text: &str, leave_by: f64) -> CallPart {
+    let parts = vec![AskedPart { shard: 3, weight: 1.0, hint_s: None }];
+    let asked = Rc::new(Asked { id: id.into(), text: text.into(), parts, ..Asked::default() });
+    CallPart { attempt, asked, place: 0, wait_s: 1.0, client_until: f64::INFINITY, ahead: false, leave_by }
+}
+
+/// All that has come on a connection by its end.
+fn received(listener: &TcpListener) -> Vec<u8> {
+    let (mut peer, mut bytes) = (listener.accept().expect("a connection").0, Vec::new());
+    std::io::Read::read_to_end(&mut peer, &mut bytes).expect("all of it");
+    bytes
+}
+
 /// Asks one part there at that time.
 fn ask(leaf: &mut LeafConn, keys: &mut slotmap::SlotMap<AttemptKey, ()>, now: f64) -> AttemptKey {
     let attempt = keys.insert(());
-    let parts = vec![AskedPart { shard: 3, weight: 1.0, hint_s: None }];
-    let asked = Rc::new(Asked { id: format!("q{now}"), text: "t".into(), parts, ..Asked::default() });
-    let leave_by = f64::INFINITY;
-    leaf.call(
-        &[CallPart {
-            attempt,
-            asked,
-            place: 0,
-            wait_s: 1.0,
-            client_until: f64::INFINITY,
-            ahead: false,
-            leave_by,
-        }],
-        now,
-    );
+    leaf.call(&[call_part(attempt, &format!("q{now}"), "t", f64::INFINITY)], now);
     leaf.flush(|_| true, &mut Vec::new()).expect("room in the socket");
     attempt
 }
@@ -50,21 +50,8 @@
     leaf.up = false;
     let mut keys = slotmap::SlotMap::with_key();
     let mut call = |leaf: &mut LeafConn, id: &str, leave_by: f64| {
-        let parts = vec![AskedPart { shard: 3, weight: 1.0, hint_s: None }];
-        let asked = Rc::new(Asked { id: id.into(), text: "t".into(), parts, ..Asked::default() });
         let attempt = keys.insert(());
-        leaf.call(
-            &[CallPart {
-                attempt,
-                asked,
-                place: 0,
-                wait_s: 1.0,
-                client_until: f64::INFINITY,
-                ahead: false,
-                leave_by,
-            }],
-            1.0,
-        );
+        leaf.call(&[call_part(attempt, id, "t", leave_by)], 1.0);
         attempt
     };
     let (late, sound) = (call(&mut leaf, "late", 1.1), call(&mut leaf, "sound", 1.3));
@@ -75,8 +62,7 @@
     assert!(leaf.withdraw_late(9.0).is_empty(), "what has left has left");
     assert!(!leaf.unused() && !leaf.give_up(sound, 1.25, DOUBT_S));
     drop(leaf);
-    let (mut peer, mut bytes) = (listener.accept().expect("a connection").0, Vec::new());
-    std::io::Read::read_to_end(&mut peer, &mut bytes).expect("all of it");
+    let bytes = received(&listener);
     let text = String::from_utf8_lossy(&bytes);
     assert!(text.contains("sound.3") && !text.contains("late.3"), "{text}");
 }
@@ -155,19 +141,8 @@
         let mut keys: slotmap::SlotMap<AttemptKey, ()> = slotmap::SlotMap::with_key();
         let attempts: Vec<AttemptKey> = (0..3).map(|_| keys.insert(())).collect();
         let part = |number: usize| {
-            let parts = vec![AskedPart { shard: 3, weight: 1.0, hint_s: None }];
             let text = "t".repeat(10 * (number + 1));
-            let asked = Rc::new(Asked { id: format!("q{number}"), text, parts, ..Asked::default() });
-            let (attempt, leave_by) = (attempts[number], f64::INFINITY);
-            CallPart {
-                attempt,
-                asked,
-                place: 0,
-                wait_s: 1.0,
-                client_until: f64::INFINITY,
-                ahead: false,
-                leave_by,
-            }
+            call_part(attempts[number], &format!("q{number}"), &text, f64::INFINITY)
         };
         leaf.call(&[part(0), part(1), part(2)], 1.0);
         // One is given up, the others only not sent: boxes that can't be told are no reason to send what is over.
@@ -180,8 +155,7 @@
         let again = leaf.unsend(attempts[1]);
         assert!(!again, "what has left has left");
         drop(leaf);
-        let (mut peer, mut bytes) = (listener.accept().expect("a connection").0, Vec::new());
-        std::io::Read::read_to_end(&mut peer, &mut bytes).expect("all of it");
+        let bytes = received(&listener);
         let wanted = left.iter().map(|id| format!("{id} 3 d=1000 20\n{}", "t".repeat(20)));
         let wanted: Vec<u8> = wanted
             .flat_map(|part| {
@@ -207,8 +181,7 @@
     assert!(leaf.idle_out() && !leaf.unsend(attempt), "it has left");
     ask(&mut leaf, &mut keys, 2.0);
     drop(leaf);
-    let (mut peer, mut bytes) = (listener.accept().expect("a connection").0, Vec::new());
-    std::io::Read::read_to_end(&mut peer, &mut bytes).expect("all of it");
+    let bytes = received(&listener);
     let text = String::from_utf8_lossy(&bytes);
     assert!(text.contains("q1.3 3 d=250 1\nt") && text.contains("q2.3 3 d=1000 1\nt"), "{text}");
     assert!(!text.contains("q1.25"), "{text}");
@@ -257,3 +230,51 @@
         assert!(calls(&out).is_empty(), "nothing is begun for it any more: {out:?}");
     }
 }
+
+/// The guard is asked before the first byte: what it forbids never leaves, and what is behind that does.
+#[test]
+fn a_call_that_the_guard_forbids_does_not_leave() {
+    let (listener, mut leaf) = connection();
+    let mut keys = slotmap::SlotMap::with_key();
+    let (forbidden, allowed) = (keys.insert(()), keys.insert(()));
+    leaf.call(&[call_part(forbidden, "forbidden", "t", 5.0)], 1.0);
+    leaf.call(&[call_part(allowed, "allowed", "t", f64::INFINITY)], 1.0);
+    assert_eq!(leaf.waiting_attempts(), [forbidden, allowed]);
+    let mut withdrawn = Vec::new();
+    leaf.flush(|call| call.leave_by > 5.0, &mut withdrawn).expect("room in the socket");
+    assert_eq!((withdrawn, leaf.begun_calls.len()), (vec![forbidden], 1));
+    assert!(leaf.waiting_attempts().is_empty() && !leaf.unused());
+    drop(leaf);
+    let text = String::from_utf8_lossy(&received(&listener)).into_owned();
+    assert!(text.contains("allowed.3") && !text.contains("forbidden.3"), "{text}");
+}
+
+/// A server that reads nothing: the socket is full, one call is stuck half-way, and those behind it tell what is left of their
+/// waits once there is room.
+#[test]
+fn a_full_socket_leaves_one_call_stuck_and_others_waiting() {
+    let (listener, mut leaf) = connection();
+    let mut keys = slotmap::SlotMap::with_key();
+    let text = "t".repeat(60_000);
+    let mut last = Vec::new();
+    while leaf.idle_out() {
+        let attempt = keys.insert(());
+        leaf.call(&[call_part(attempt, "large", &text, f64::INFINITY)], 1.0);
+        leaf.flush(|_| true, &mut Vec::new()).expect("no end");
+        last = vec![attempt];
+        assert!(keys.len() < 1_000, "the socket takes all");
+    }
+    assert_eq!(leaf.stuck_attempts(), last);
+    assert!(!leaf.unsend(last[0]), "it has begun to leave");
+    let waiting = keys.insert(());
+    leaf.call(&[call_part(waiting, "waiting", "t", f64::INFINITY)], 1.0);
+    leaf.refresh_waits(1.5);
+    let reader = std::thread::spawn(move || received(&listener));
+    while !leaf.idle_out() {
+        leaf.flush(|_| true, &mut Vec::new()).expect("room in the socket, in the end");
+    }
+    drop(leaf);
+    let bytes = reader.join().expect("a reader that ends");
+    let text = String::from_utf8_lossy(&bytes[bytes.len() - 40..]).into_owned();
+    assert!(text.contains("waiting.3 3 d=500 1\nt"), "{text}");
+}
