--- a/src/choices/list_lease.rs
+++ b/src/choices/list_lease.rs
@@ -18,11 +18,12 @@
 const MOVED_LEASE_S: f64 = 4.0;
 /// A call is made so long before the end of a lease in use: it may take 2 s to fail, and begins at a periodic tick.
 const RENEW_BEFORE_S: f64 = 2.5;
-/// A list from before the start is acted on unconfirmed only after so many calls that failed, and so long after the start
-/// (seconds). Guards servers that were removed while the mixer was down against a call that failed by chance. A restarted
-/// mixer has to be ready within 6 s.
-const MIN_FAILED_CALLS: u32 = 2;
-const START_HOLD_S: f64 = 4.0;
+/// A list from before the start is acted on unconfirmed only after so many calls that failed, or one that took long to fail,
+/// and so long after the start (seconds). Guards servers that were removed while the mixer was down against calls that failed
+/// by chance, which are repeated within some 1 s. A restarted mixer has to be ready within 6 s.
+const MIN_FAILED_CALLS: u32 = 3;
+const SLOW_CALL_S: f64 = 0.9;
+const START_HOLD_S: f64 = 3.0;
 /// Two calls for the lease's sake begin at least so far apart (seconds). Guards discovery against a call for each request.
 const MIN_CALL_INTERVAL_S: f64 = 1.0;
 /// The lease has been used where a request came within this time (seconds).
@@ -62,7 +63,7 @@
     pub failed_call_age_s: Option<f64>,
     /// Since the start of the process (seconds).
     pub began_age_s: f64,
-    /// Calls in a row that failed.
+    /// Calls in a row that failed; one that took long counts as many.
     pub failed_calls: u32,
 }
 
@@ -74,7 +75,7 @@
     confirmed_at: Option<f64>,
     /// When the last call began, where it failed.
     failed_call_at: Option<f64>,
-    failed_calls: u32, // in a row
+    failed_calls: u32, // in a row; a slow one counts as many
     used_at: f64,
     suspended_until: f64,
     watch_until: f64, // when the wait of the open watch is over
@@ -118,10 +119,11 @@
         (self.suspended_until, self.watch_until) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
     }
 
-    /// A call that began at that time has failed.
-    pub fn call_failed(&mut self, began_at: f64) {
+    /// A call that began at that time has failed now.
+    pub fn call_failed(&mut self, began_at: f64, now: f64) {
         self.failed_call_at = Some(self.failed_call_at.map_or(began_at, |before| before.max(began_at)));
-        self.failed_calls = self.failed_calls.saturating_add(1);
+        let weight = if now >= began_at + SLOW_CALL_S { MIN_FAILED_CALLS } else { 1 };
+        self.failed_calls = self.failed_calls.saturating_add(weight);
     }
 
     /// No call can be answered before then, whatever discovery has: its list is longer than what is read.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -631,7 +631,7 @@
             line += &format!(" after {:.3} s", self.now - made_at);
         }
         self.log(&line);
-        self.lease.call_failed(made_at.unwrap_or(self.now));
+        self.lease.call_failed(made_at.unwrap_or(self.now), self.now);
         if let Some(until) = self.link.oversize.blocked_until(self.now) {
             self.lease.calls_suspended(until);
         }
