Ask for whole lists only after unanswered calls, and make no call before those that are spread

Lines: is_whole_list_wanted in net/discovery.rs; beside it needs_call of the lease, which came before the draws of watch_schedule.

--- a/src/choices/list_lease.rs
+++ b/src/choices/list_lease.rs
@@ -22,10 +22,15 @@
 /// and so long after the start (seconds). Guards servers that were removed while the mixer was down against calls that failed
 /// by chance, which are repeated within some 1 s. A restarted mixer has to be ready within 6 s.
 const MIN_FAILED_CALLS: u32 = 3;
-const SLOW_CALL_S: f64 = 0.9;
-const START_HOLD_S: f64 = 3.0;
-/// Two calls for the lease's sake begin at least so far apart (seconds). Guards discovery against a call for each request.
-const MIN_CALL_INTERVAL_S: f64 = 1.0;
+const SLOW_CALL_S: f64 = 1.2;
+const START_HOLD_S: f64 = 1.5;
+/// A failed call is repeated within 1.4 s, by a draw that spreads a fleet's repeats. Only where it is not, for there is a
+/// longer pause after many failures, a call is made for the lease's sake (seconds).
+const MIN_PAUSE_S: f64 = 1.5;
+/// A lease in force is looked at so often at most (seconds).
+const LOOK_INTERVAL_S: f64 = 1.0;
+/// A list that is not in force yet is looked at so often at most (seconds).
+const MIN_LOOK_INTERVAL_S: f64 = 0.05;
 /// The lease has been used where a request came within this time (seconds).
 const IN_USE_S: f64 = 6.0;
 
@@ -76,6 +81,10 @@
     /// When the last call began, where it failed.
     failed_call_at: Option<f64>,
     failed_calls: u32, // in a row; a slow one counts as many
+    /// When the last call failed.
+    failed_at: f64,
+    /// When the call began that is out, while nothing was confirmed yet.
+    first_call_at: Option<f64>,
     used_at: f64,
     suspended_until: f64,
     watch_until: f64, // when the wait of the open watch is over
@@ -90,6 +99,8 @@
             confirmed_at: None,
             failed_call_at: None,
             failed_calls: 0,
+            failed_at: f64::NEG_INFINITY,
+            first_call_at: None,
             used_at: now,
             suspended_until: f64::NEG_INFINITY,
             watch_until: f64::NEG_INFINITY,
@@ -115,15 +126,21 @@
     /// The list was true at that time.
     pub fn confirmed(&mut self, at: f64) {
         self.confirmed_at = Some(self.confirmed_at.map_or(at, |before| before.max(at)));
-        (self.failed_call_at, self.failed_calls) = (None, 0);
+        (self.failed_call_at, self.failed_calls, self.first_call_at) = (None, 0, None);
         (self.suspended_until, self.watch_until) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
     }
 
+    /// A call leaves now.
+    pub fn call_made(&mut self, now: f64) {
+        self.first_call_at = Some(now).filter(|_| self.confirmed_at.is_none());
+    }
+
     /// A call that began at that time has failed now.
     pub fn call_failed(&mut self, began_at: f64, now: f64) {
         self.failed_call_at = Some(self.failed_call_at.map_or(began_at, |before| before.max(began_at)));
         let weight = if now >= began_at + SLOW_CALL_S { MIN_FAILED_CALLS } else { 1 };
         self.failed_calls = self.failed_calls.saturating_add(weight);
+        (self.failed_at, self.first_call_at) = (now, None);
     }
 
     /// No call can be answered before then, whatever discovery has: its list is longer than what is read.
@@ -165,8 +182,10 @@
         if !self.has_discovery {
             return f64::INFINITY;
         }
+        let is_usable = self.confirmed_at.is_some() || self.is_hold_over(now);
+        let unanswered = self.first_call_at.filter(|at| now >= at + SLOW_CALL_S);
         let unreachable =
-            self.failed_call_at.filter(|_| self.confirmed_at.is_some() || self.is_hold_over(now));
+            self.failed_call_at.into_iter().chain(unanswered).reduce(f64::max).filter(|_| is_usable);
         let latest = self.confirmed_at.into_iter().chain(unreachable).fold(f64::NEG_INFINITY, f64::max);
         if latest.is_infinite() {
             return f64::NEG_INFINITY;
@@ -192,8 +211,11 @@
     /// When it is to be looked at next for a call, if nothing happens before.
     pub fn next_look_at(&self, now: f64) -> f64 {
         let until = self.until(now);
-        let renew_at = if until.is_finite() { until - RENEW_BEFORE_S } else { self.hold_ends_at() };
-        renew_at.max(now + MIN_CALL_INTERVAL_S)
+        if until.is_finite() {
+            return (until - RENEW_BEFORE_S).max(now + LOOK_INTERVAL_S);
+        }
+        let slow_at = self.first_call_at.map_or(now + LOOK_INTERVAL_S, |at| at + SLOW_CALL_S);
+        slow_at.max(self.hold_ends_at()).max(now + MIN_LOOK_INTERVAL_S)
     }
 
     /// When the list was last known to be true.
@@ -203,7 +225,8 @@
 
     /// Whether a list from before the start may be acted on, since discovery can't be reached.
     fn is_hold_over(&self, now: f64) -> bool {
-        self.failed_calls >= MIN_FAILED_CALLS && now >= self.hold_ends_at()
+        let is_unanswered = self.first_call_at.is_some_and(|at| now >= at + SLOW_CALL_S);
+        (self.failed_calls >= MIN_FAILED_CALLS || is_unanswered) && now >= self.hold_ends_at()
     }
 
     /// From when on a list from before the start may be acted on where calls fail.
@@ -214,8 +237,10 @@
     /// Whether a call should be made now, where none is in flight: a lease in use is about to end, or has ended.
     pub fn needs_call(&self, now: f64) -> bool {
         let is_in_use = now < self.used_at + IN_USE_S;
-        let is_spaced = self.failed_call_at.is_none_or(|at| now >= at + MIN_CALL_INTERVAL_S);
-        self.has_discovery && is_in_use && is_spaced && now + RENEW_BEFORE_S >= self.until(now)
+        let is_spaced = now >= self.failed_at + MIN_PAUSE_S;
+        let until = self.until(now);
+        // Before the first answer or failure the calls of a fleet that starts together are spread by others.
+        self.has_discovery && until.is_finite() && is_in_use && is_spaced && now + RENEW_BEFORE_S >= until
     }
 }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -24,8 +24,9 @@
 const UP_WITHIN_S: f64 = 1.0;
 /// The whole list has to be answered within this time (seconds).
 const WHOLE_LIST_TIMEOUT_S: f64 = 2.5;
-/// Each so many failed calls for changes in a row the whole list is asked for: one who refuses the other form, or waits
-/// all the same, answers this one.
+/// Each so many calls for changes in a row that were not answered the whole list is asked: one who waits all the same
+/// answers this one. Not after calls that failed in other ways: a fleet that comes out of an outage would ask for nothing
+/// but whole lists, each of which costs discovery many times as much.
 const WHOLE_LIST_EVERY: u32 = 8;
 /// Where nobody else asks again, a failed call to discovery is repeated after this time (seconds).
 const ASK_AGAIN_S: f64 = 0.5;
@@ -232,6 +233,8 @@
     reopen_at: Option<f64>,
     /// Calls in a row that failed before a watch was open.
     failed_opens: u32,
+    /// Of these, the last ones that were not answered.
+    unanswered_opens: u32,
     /// Whether discovery has refused a call for changes as such.
     refuses_changes: bool,
     oversize: Backoff,
@@ -249,6 +252,7 @@
             worked: false,
             reopen_at: None,
             failed_opens: 0,
+            unanswered_opens: 0,
             refuses_changes: false,
             oversize: Backoff::default(),
             last_answer: None,
@@ -270,7 +274,7 @@
     }
 
     fn is_whole_list_wanted(&self) -> bool {
-        self.refuses_changes || self.failed_opens % WHOLE_LIST_EVERY == WHOLE_LIST_EVERY - 1
+        self.refuses_changes || self.unanswered_opens % WHOLE_LIST_EVERY == WHOLE_LIST_EVERY - 1
     }
 
     /// How long a call may take that opens a watch (seconds).
@@ -399,6 +403,7 @@
         let Some(address) = self.discovery else { return };
         let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) else { return };
         conn.out = call.text(&address.to_string());
+        self.lease.call_made(self.now);
         conn.open_call = Some(OpenCall { call, known: self.revision, made_at: self.now, timeout_s });
         // Guards against a machine that is not there: a watch's patience is for one that is.
         conn.due = self.now + if conn.up { timeout_s } else { timeout_s.min(UP_WITHIN_S) };
@@ -535,6 +540,7 @@
     fn watch_answered(&mut self, key: ConnKey, open: OpenCall, news: bool) {
         self.log_confirmed(self.link.failed_opens);
         self.link.worked = true;
+        self.link.unanswered_opens = 0;
         if std::mem::take(&mut self.link.failed_opens) > 0 {
             self.take_entries(false, Vec::new()); // the module counts failures up to the next list
         }
@@ -638,7 +644,11 @@
         self.publish_lease();
         self.link.refuses_changes |= matches!(why, DiscoveryError::Status(400..=499));
         match role {
-            Role::Watch => self.watch_failed(),
+            Role::Watch => {
+                let is_unanswered = matches!(why, DiscoveryError::TimedOut);
+                self.link.unanswered_opens = if is_unanswered { self.link.unanswered_opens + 1 } else { 0 };
+                self.watch_failed();
+            }
             Role::Heartbeat => {
                 let next_at = self.link.heartbeat.failed(self.now);
                 self.timers.add(next_at, Deadline::Heartbeat);
--- a/tests/discovery_silence.rs
+++ b/tests/discovery_silence.rs
@@ -194,3 +194,23 @@
         ));
     }
 }
+
+/// Found on a day with an outage of ten seconds just before most mixers restarted: after eight failures each of 300 mixers
+/// asked for the whole list, and discovery, back again, answered nobody for the rest of the day.
+#[test]
+fn a_discovery_that_is_away_is_not_asked_for_whole_lists() {
+    let calls = Arc::new(Mutex::new((0, 0)));
+    let shared = calls.clone();
+    let address = discovery(move |asked| {
+        let mut calls = shared.lock().expect("a lock");
+        calls.0 += 1;
+        calls.1 += u32::from(asked.is_none());
+        match asked {
+            Some((_, wait)) if calls.0 > 12 && wait > 0 => Reply::Nothing,
+            _ if calls.0 > 12 => list(2, false, MEMBERS),
+            _ => Reply::Status(503),
+        }
+    });
+    start(3, "subscribe", address, true).await_log("discovery: revision Some(2)");
+    assert_eq!(calls.lock().expect("a lock").1, 0, "whole lists");
+}
