--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -25,11 +25,34 @@
 
 pub enum Reply {
     List(String),
+    /// A list of which not all arrives.
+    Lost(String, Cut),
     Status(u16),
     Nothing,
     Reset,
 }
 
+/// What arrives of an answer, before its connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    NoByte,
+    Half,
+    AllButLast,
+    /// The connection stays open and nothing more comes.
+    HalfThenSilence,
+}
+
+impl Cut {
+    /// Of so many bytes.
+    fn arriving(self, length: usize) -> usize {
+        match self {
+            Cut::NoByte => 0,
+            Cut::Half | Cut::HalfThenSilence => length / 2,
+            Cut::AllButLast => length - 1,
+        }
+    }
+}
+
 /// A list, or the changes of one.
 pub fn list(revision: u64, complete: bool, members: &str) -> Reply {
     Reply::List(format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":[{members}]}}"))
@@ -49,6 +72,10 @@
     address
 }
 
+fn answer_text(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
 fn answer_calls(mut stream: TcpStream, reply: &dyn Fn(Asked) -> Reply) {
     let mut lines = BufReader::new(stream.try_clone().expect("a descriptor")).lines().map_while(Result::ok);
     while let Some(line) = lines.next() {
@@ -61,12 +88,18 @@
         let sent = match reply(asked) {
             Reply::Nothing => continue,
             Reply::Reset => return,
+            Reply::Lost(body, cut) => {
+                let whole = answer_text(&body);
+                let sent = stream.write_all(&whole.as_bytes()[..cut.arriving(whole.len())]);
+                if cut == Cut::HalfThenSilence && sent.is_ok() {
+                    continue;
+                }
+                return;
+            }
             Reply::Status(status) => {
                 write!(stream, "HTTP/1.1 {status} No\r\nContent-Length: 0\r\n\r\n")
             }
-            Reply::List(body) => {
-                write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
-            }
+            Reply::List(body) => stream.write_all(answer_text(&body).as_bytes()),
         };
         if sent.is_err() {
             return;
