--- a/crates/wharfhub-lab/src/experiments/soak.rs
+++ b/crates/wharfhub-lab/src/experiments/soak.rs
@@ -21,7 +21,7 @@
         plan.seed.to_string(),
         plan.terms.mixers.to_string(),
         plan.told_size.to_string(),
-        if plan.pushed { "pushed" } else { "asked" }.into(),
+        if plan.terms.pushed { "pushed" } else { "asked" }.into(),
         plan.faults.len().to_string(),
         counts.all.to_string(),
         counts.served.to_string(),
--- a/crates/wharfhub-lab/src/soak/history.rs
+++ b/crates/wharfhub-lab/src/soak/history.rs
@@ -30,7 +30,7 @@
     pub phases: Vec<ServerPhase>,
 }
 
-/// An answer of discovery that was written whole.
+/// An answer that discovery wrote: it counts as told from then on, whatever becomes of it on the way.
 #[derive(Clone, Copy, Debug)]
 pub struct Told {
     /// To which mixer.
@@ -39,6 +39,17 @@
     pub at: f64,
     /// The version, by place.
     pub version: usize,
+    /// Whether it was cut off on the way.
+    pub is_cut: bool,
+}
+
+/// How discovery is out of reach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Absence {
+    /// It closes or refuses calls.
+    Down,
+    /// It does not answer, and its open watches are silent from then on.
+    Silent,
 }
 
 /// A time in which a mixer could not reach discovery.
@@ -46,6 +57,8 @@
 pub struct Unreachable {
     /// Which; all of them where there is none.
     pub mixer: Option<usize>,
+    /// How.
+    pub absence: Absence,
     /// From when.
     pub from: f64,
     /// To when.
@@ -90,6 +103,8 @@
     Broken {
         /// When.
         at: f64,
+        /// Whether it was reset: a connection that is closed over bytes that were not read is.
+        is_reset: bool,
     },
     /// No answer came by half a second after its time.
     Silent,
@@ -123,12 +138,18 @@
     Started,
     /// It said that it is ready.
     Ready,
-    /// It was killed.
+    /// It is killed.
     Killed,
+    /// It is gone after that: on a busy machine its sockets outlive the signal.
+    Dead,
     /// It was told to end.
     ToldToEnd,
     /// It has ended after that.
     Ended,
+    /// It was killed, for it had not ended by the time that it has for that.
+    KilledAtEnd,
+    /// It was told of another discovery, or to read its configuration again.
+    Reconfigured,
     /// It was stopped.
     Stopped,
     /// It goes on.
@@ -170,6 +191,8 @@
     pub told: Vec<Told>,
     /// When discovery was out of reach.
     pub unreachable: Vec<Unreachable>,
+    /// When all open watches fell silent.
+    pub silences: Vec<f64>,
     /// Parts at servers.
     pub calls: Vec<PartCall>,
     /// Requests of clients.
--- a/src/choices/list_lease.rs
+++ b/src/choices/list_lease.rs
@@ -163,6 +163,11 @@
         self.lost_answers.call_ended(end, since, now);
     }
 
+    /// Something counts as told since then that nobody has read.
+    pub fn news_missing(&mut self, since: f64, now: f64) {
+        self.lost_answers.news_missing(since, now);
+    }
+
     /// What is known of answers that were lost.
     pub fn lost_answers(&self) -> &LostAnswers {
         &self.lost_answers
--- a/src/choices/lost_answer.rs
+++ b/src/choices/lost_answer.rs
@@ -9,8 +9,9 @@
 use miniserde::{Deserialize, Serialize};
 
 /// A call that ended without a byte may have been answered, or discovery went down under it. Where no call has been answered
-/// for so long it is down (seconds): two calls can wait in the queue of a crowded discovery for 2 s each, and be repeated.
-const PRESUMED_DOWN_S: f64 = 6.0;
+/// for so long, and no other call has ended in another such way, it is down (seconds). What was lost right before an outage
+/// that lasts longer is forgotten then: a mixer that starts in such an outage has to be ready within 30 s.
+const PRESUMED_DOWN_S: f64 = 25.0;
 /// The same after so many connections in a row that were refused: nobody is there.
 const DOWN_AFTER_REFUSED_CONNECTIONS: u32 = 2;
 /// The first repeats come within this time and a draw (seconds). Together with the time of an answer, two repeats have to fit
@@ -21,7 +22,8 @@
 /// (seconds), and a queue of so long is no harm, for calls are given up after 2 s.
 const CALL_TURN_S: f64 = 0.004;
 const HARMLESS_QUEUE_S: f64 = 1.0;
-/// After so many repeats in a row the wait doubles each time, up to a bound that grows with the fleet (seconds).
+/// After so many repeats in a row the wait doubles each time, up to the spread, or this (seconds): a small fleet goes on to ask
+/// within the grace, however long discovery ends its calls.
 const QUICK_RETRIES: u32 = 3;
 const MIN_RETRY_BOUND_S: f64 = 0.12;
 const MAX_RETRY_S: f64 = 1.4;
@@ -35,20 +37,27 @@
     Refused,
     /// It was given up, and no byte of an answer had come. A watch or call that is silent counts by terms of its own.
     GivenUp,
-    /// Its connection ended before a byte came: an answer may have been written.
-    Ended,
+    /// Its connection was closed before a byte came: an answer may have been written.
+    Closed,
+    /// The same, and it was reset, as one is whose call was not read.
+    Reset,
     /// Some of an answer came, or all of it and it can't be read: an answer was written.
     CutOff,
 }
 
 impl CallEnd {
+    /// Whether an answer may have been written to it.
+    pub fn may_have_answer(self) -> bool {
+        matches!(self, CallEnd::Closed | CallEnd::Reset | CallEnd::CutOff)
+    }
+
     /// What it means for the log.
     pub fn label(self) -> &'static str {
         match self {
             CallEnd::NotSent => "the call did not leave",
             CallEnd::Refused => "refused",
             CallEnd::GivenUp => "given up",
-            CallEnd::Ended => "an answer may be lost",
+            CallEnd::Closed | CallEnd::Reset => "an answer may be lost",
             CallEnd::CutOff => "its answer is lost",
         }
     }
@@ -61,6 +70,8 @@
     since: f64,
     /// Calls that were made from then on are answered by what is newer.
     noticed_at: f64,
+    /// When a call last ended without a byte in a way in which the one before had not.
+    suspected_at: f64,
     /// Whether it was written for certain.
     is_certain: bool,
 }
@@ -83,8 +94,11 @@
     /// Calls that were repeated before their time, since the last answer.
     retries: u32,
     refused_connections: u32, // in a row
-    /// Whether calls have ended without a byte for so long that this says only that discovery is down.
-    is_presumed_down: bool,
+    /// How the last call ended that ended without a byte.
+    last_silent_end: Option<CallEnd>,
+    /// Calls have ended so for so long that this says only that discovery is down, until it answers.
+    closing_means_down: bool,
+    resetting_means_down: bool,
     count: u64,
 }
 
@@ -97,29 +111,44 @@
     /// A call has ended now without a whole list; its answer was not written before `since`.
     pub fn call_ended(&mut self, end: CallEnd, since: f64, now: f64) {
         self.presume(now);
+        self.count += u64::from(end.may_have_answer());
+        if end == CallEnd::CutOff && !self.missing.is_some_and(|missing| missing.is_certain) {
+            self.retries = 0; // discovery is there, whatever calls came to before
+        }
         self.refused_connections = match end {
             CallEnd::NotSent => self.refused_connections.saturating_add(1),
             _ => 0,
         };
         match end {
             CallEnd::CutOff => self.is_missing(since, now, true),
-            CallEnd::Ended if !self.is_presumed_down => self.is_missing(since, now, false),
-            CallEnd::Ended => {}
+            CallEnd::Closed if self.closing_means_down => {}
+            CallEnd::Reset if self.resetting_means_down => {}
+            CallEnd::Closed | CallEnd::Reset => {
+                self.is_missing(since, now, false);
+                self.suspect(end, now);
+            }
             CallEnd::NotSent if self.refused_connections >= DOWN_AFTER_REFUSED_CONNECTIONS => {
                 self.missing = self.missing.filter(|missing| missing.is_certain);
-                self.is_presumed_down = false;
             }
-            // A discovery that is down ends calls in one way: an end without a byte after another says something again.
-            CallEnd::NotSent | CallEnd::Refused | CallEnd::GivenUp => self.is_presumed_down = false,
+            CallEnd::NotSent | CallEnd::Refused | CallEnd::GivenUp => {}
         }
         self.retries += u32::from(self.is_retry_soon(end, now));
     }
 
+    /// Something counts as told since then that nobody has read.
+    pub fn news_missing(&mut self, since: f64, now: f64) {
+        self.is_missing(since, now, true);
+    }
+
     /// A call that was made at that time was answered whole.
     pub fn answered(&mut self, made_at: f64) {
         self.missing = self.missing.filter(|missing| made_at < missing.noticed_at);
         if self.missing.is_none() {
-            (self.retries, self.refused_connections, self.is_presumed_down) = (0, 0, false);
+            *self = LostAnswers {
+                count: self.count,
+                arriving_since: self.arriving_since,
+                ..LostAnswers::default()
+            };
         }
     }
 
@@ -136,7 +165,7 @@
 
     /// Whether a call that has ended so is to be repeated before its time: an answer is missing, or may be.
     pub fn is_retry_soon(&self, end: CallEnd, now: f64) -> bool {
-        matches!(end, CallEnd::Ended | CallEnd::CutOff) || self.needs_call(now)
+        end.may_have_answer() || self.needs_call(now)
     }
 
     /// How long to wait with the next call after one that ended without an answer (seconds), among so many mixers that ask
@@ -145,9 +174,8 @@
         let fleet_turn_s = f64::from(mixers) * CALL_TURN_S;
         let spread_s = (fleet_turn_s - HARMLESS_QUEUE_S).clamp(MIN_RETRY_SPREAD_S, MAX_RETRY_S);
         let doublings = self.retries.saturating_sub(QUICK_RETRIES).min(16);
-        let bound_s = fleet_turn_s.clamp(MIN_RETRY_BOUND_S, MAX_RETRY_S);
-        let grown_s = (MIN_RETRY_S + jitter * spread_s) * f64::from(doublings).exp2();
-        grown_s.min(bound_s.max(MIN_RETRY_S + jitter * spread_s))
+        let first_s = MIN_RETRY_S + jitter * spread_s;
+        (first_s * f64::from(doublings).exp2()).min(first_s.max(spread_s).max(MIN_RETRY_BOUND_S))
     }
 
     /// Answers that were lost, or may have been.
@@ -169,25 +197,35 @@
     }
 
     fn is_missing(&mut self, since: f64, now: f64, is_certain: bool) {
-        self.count += 1;
         let before = self.missing;
         self.missing = Some(MissingAnswer {
             since: before.map_or(since, |before| before.since.min(since)),
             noticed_at: now,
+            suspected_at: before.map_or(now, |before| before.suspected_at),
             is_certain: is_certain || before.is_some_and(|before| before.is_certain),
         });
     }
 
-    /// An answer that may be missing for long is none: discovery is down.
+    /// A call that ended in another way than the one before may be one that was answered.
+    fn suspect(&mut self, end: CallEnd, now: f64) {
+        let is_other = self.last_silent_end.replace(end) != Some(end);
+        if let Some(missing) = self.missing.as_mut().filter(|_| is_other) {
+            missing.suspected_at = now;
+        }
+    }
+
+    /// An answer that may be missing for long, while calls ended in one way, is none: discovery is down.
     fn presume(&mut self, now: f64) {
         if self.missing.is_some_and(|missing| is_presumed_none(&missing, now)) {
-            (self.missing, self.is_presumed_down) = (None, true);
+            self.missing = None;
+            self.closing_means_down |= self.last_silent_end == Some(CallEnd::Closed);
+            self.resetting_means_down |= self.last_silent_end == Some(CallEnd::Reset);
         }
     }
 }
 
 fn is_presumed_none(missing: &MissingAnswer, now: f64) -> bool {
-    !missing.is_certain && now >= missing.since + PRESUMED_DOWN_S
+    !missing.is_certain && now >= missing.suspected_at + PRESUMED_DOWN_S
 }
 
 #[cfg(test)]
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -72,6 +72,8 @@
     /// Whether discovery has refused a call for changes as such.
     refuses_changes: bool,
     oversize: Backoff,
+    /// When a call that failed is repeated.
+    retry_at: Option<f64>,
     /// What the answer that was taken last looked like, by hash.
     last_answer: Option<u64>,
 }
@@ -89,6 +91,7 @@
             unanswered_opens: 0,
             refuses_changes: false,
             oversize: Backoff::default(),
+            retry_at: None,
             last_answer: None,
         }
     }
@@ -143,6 +146,20 @@
 }
 
 impl Mixer {
+    /// Discovery is called again so much later at the latest. There is one such time: each call that fails would add more.
+    pub(super) fn retry_discovery_after(&mut self, delay_s: f64) {
+        let at = self.link.retry_at.map_or(f64::MAX, |at| at).min(self.now + delay_s);
+        self.link.retry_at = Some(at);
+        self.timers.add(at, Deadline::DiscoveryRetry);
+    }
+
+    pub(super) fn discovery_retry_due(&mut self) {
+        let now = self.now + TIMER_STEP_S;
+        if self.link.retry_at.take_if(|at| *at <= now).is_some() {
+            self.ask();
+        }
+    }
+
     /// Opens the watch, or goes on with it, unless a call of it is out.
     pub(super) fn ask(&mut self) {
         if let Some(until) = self.link.oversize.blocked_until(self.now) {
@@ -241,6 +258,7 @@
         let Some(address) = self.discovery else { return };
         let open_call = OpenCall { call, known: self.revision, made_at: self.now, timeout_s };
         let Some(Conn::Discovery(conn)) = self.conns.get_mut(key) else { return };
+        self.link.retry_at = None;
         let due = conn.call(call.text(&address.to_string()), open_call, UP_WITHIN_S);
         self.lease.call_made(self.now);
         self.timers.add(due, Deadline::Conn(key));
@@ -510,7 +528,7 @@
         } else if let Some(made_at) = made_at {
             line += &format!(" after {:.3} s", self.now - made_at);
         }
-        if matches!(end, CallEnd::Ended | CallEnd::CutOff) {
+        if end.may_have_answer() {
             line += &format!("; {}", end.label());
         }
         self.log(&line);
@@ -538,7 +556,7 @@
     }
 
     /// A watch that was opened before an answer was lost tells only what comes after: another call takes its place.
-    fn give_up_old_watch(&mut self) {
+    pub(super) fn give_up_old_watch(&mut self) {
         if !self.lease.lost_answers().needs_call(self.now) {
             return;
         }
@@ -551,7 +569,7 @@
         self.link.failed_opens = self.link.failed_opens.saturating_add(1);
         self.core.list_failed(self.now, &mut self.commands);
         if !self.deployment.policy.must_ask {
-            self.timers.add(self.now + ASK_AGENT_AGAIN_S, Deadline::Ask);
+            self.retry_discovery_after(ASK_AGENT_AGAIN_S);
         }
     }
 
--- a/src/net/discovery_conn.rs
+++ b/src/net/discovery_conn.rs
@@ -183,7 +183,8 @@
             _ if self.answer_arriving_since().is_some() => CallEnd::CutOff,
             _ if self.answer_began_at.is_some() => CallEnd::Refused,
             DiscoveryError::TimedOut => CallEnd::GivenUp,
-            _ => CallEnd::Ended,
+            DiscoveryError::Io(_) => CallEnd::Reset,
+            _ => CallEnd::Closed,
         }
     }
 
--- a/src/net/lease.rs
+++ b/src/net/lease.rs
@@ -13,7 +13,7 @@
 
 /// A loop that was away from its poll for so long asks for discovery's news before it handles anything else, and sends
 /// nothing before that (seconds). The drain grace that is used leaves room for it.
-const HELD_UP_S: f64 = 0.05;
+pub(super) const HELD_UP_S: f64 = 0.05;
 
 impl Mixer {
     /// Takes what discovery has said before anything that clients bring: it counts as told from the moment it was written,
@@ -33,6 +33,19 @@
         heard
     }
 
+    /// The loop stood still since that time at the latest. Where lists are pushed, what the agent has learned meanwhile counts as
+    /// told, also where an answer was read that it wrote before: another call has to say that the list is true.
+    pub(super) fn confirm_after_standstill(&mut self, since: f64) {
+        if self.deployment.policy.must_ask || self.discovery.is_none() {
+            return;
+        }
+        self.lease.news_missing(since, self.now);
+        self.give_up_old_watch();
+        self.publish_lease();
+        self.ask();
+        self.settle();
+    }
+
     /// Whether the loop has been held up since this turn began: what came meanwhile was not looked at yet.
     pub(super) fn is_held_up(&self) -> bool {
         self.clock.now() > self.now + HELD_UP_S
@@ -104,7 +117,7 @@
         let Fleet { mixers, pushed } = discovery::fleet_of(&self.deployment.policy);
         let sharers = if pushed { 1 } else { mixers };
         let delay_s = self.lease.lost_answers().retry_delay_s(sharers, self.rng.rand_float());
-        self.timers.add(self.now + delay_s, Deadline::Ask);
+        self.retry_discovery_after(delay_s);
     }
 
     /// A request needs the list.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -134,6 +134,8 @@
     lease: ListLease,            // on the list in use
     lease_logged: (Basis, bool), // and whether it was in force
     lease_due_at: f64,           // when it is looked at next
+    turn_began_at: f64,
+    /// When the loop last looked at its sockets before this turn: whatever it finds now came after that.
     previous_turn_at: f64,
     held_back: Vec<ConnKey>, // connections to replicas whose calls leave in the next turn
     /// Whether it goes over to another discovery: the old list holds until the new one has told its own.
@@ -226,6 +228,7 @@
             lease,
             lease_logged: (Basis::NoDiscovery, true),
             lease_due_at: f64::NAN,
+            turn_began_at: now,
             previous_turn_at: now,
             held_back: Vec::new(),
             going_over: false,
@@ -291,17 +294,24 @@
     /// Runs until the program is to end and all that was held is answered.
     pub fn run(&mut self) -> Result<(), NetError> {
         let mut events = Events::with_capacity(256);
+        let mut stood_still_since: Option<f64> = None;
+        let mut wake_at = f64::INFINITY;
         while self.phase != Phase::Stopped {
             let wait = match self.held_back.is_empty() {
                 true => self.timers.wait(self.clock.now()),
                 false => Some(Duration::ZERO),
             };
+            // A signal that ends the sleep, as the one after a stop does, puts no later end to it.
+            wake_at = wake_at.min(wait.map_or(f64::INFINITY, |wait| self.clock.now() + wait.as_secs_f64()));
             match self.poll.poll(&mut events, wait) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 result => result?,
             }
-            let previous_turn_at = std::mem::replace(&mut self.now, self.clock.now());
-            self.previous_turn_at = previous_turn_at;
+            self.now = self.clock.now();
+            self.previous_turn_at = std::mem::replace(&mut self.turn_began_at, self.now);
+            if self.now > std::mem::replace(&mut wake_at, f64::INFINITY) + lease::HELD_UP_S {
+                stood_still_since.get_or_insert(self.previous_turn_at);
+            }
             // Operators come first: what clients bring must not keep their replies waiting.
             for event in &events {
                 match event.token() {
@@ -310,6 +320,9 @@
                 }
             }
             let heard = self.hear_discovery(&events);
+            if let Some(since) = stood_still_since.take() {
+                self.confirm_after_standstill(since);
+            }
             self.heed_ends(&events);
             self.flush_held_back();
             for event in &events {
@@ -333,6 +346,9 @@
                 self.settle();
             }
             self.now = self.clock.now();
+            if self.now > self.turn_began_at + lease::HELD_UP_S {
+                stood_still_since = Some(self.turn_began_at);
+            }
             while let Some(due) = self.timers.next(self.now) {
                 self.due(due);
                 self.settle();
@@ -384,6 +400,7 @@
             Deadline::AdminAccept => self.admin_accept(),
             Deadline::Accept => STYLES.into_iter().for_each(|style| self.accept(style)),
             Deadline::Ask => self.ask(),
+            Deadline::DiscoveryRetry => self.discovery_retry_due(),
             Deadline::Heartbeat => self.heartbeat_due(),
             Deadline::ListLease => self.lease_due(),
             Deadline::Settings => self.take_settings(),
--- a/src/net/timer_queue.rs
+++ b/src/net/timer_queue.rs
@@ -17,6 +17,8 @@
     AdminAccept,
     Handover,
     Ask,
+    /// A call to discovery that failed is repeated.
+    DiscoveryRetry,
     Heartbeat,
     ListLease,
     Phase,
