Repeat prompt calls soon, presume an absent discovery, and reckon requests from before a stop

Read in the code: a process that takes over inherited the rest of a lease, while discovery told its predecessor more.

--- a/src/choices/list_lease.rs
+++ b/src/choices/list_lease.rs
@@ -213,11 +213,17 @@
         let at = |age_s: f64| now - age_s.max(0.0);
         let later = |own: Option<f64>, handed: Option<f64>| own.into_iter().chain(handed).reduce(f64::max);
         let confirmed_at = later(self.confirmed_at, handed.confirmed_age_s.map(at));
-        if self.confirmed_at.is_none() {
+        let is_own_unconfirmed = self.confirmed_at.is_none();
+        if is_own_unconfirmed {
             self.failed_call_at = later(self.failed_call_at, handed.failed_call_age_s.map(at));
             self.failed_calls = self.failed_calls.saturating_add(handed.failed_calls);
         }
         self.confirmed_at = confirmed_at;
+        // What discovery tells the process before from now on counts for this one too, and only its own calls bring that.
+        let is_watched_there = handed.confirmed_age_s.is_some() && handed.failed_call_age_s.is_none();
+        if is_own_unconfirmed && is_watched_there {
+            self.lost_answers.news_may_be_missing(now, now);
+        }
         if let Some(missing) = handed.missing_answer {
             self.lost_answers.inherit(now, missing);
         }
--- a/src/choices/lost_answer.rs
+++ b/src/choices/lost_answer.rs
@@ -12,6 +12,9 @@
 /// for so long, and no other call has ended in another such way, it is down (seconds). What was lost right before an outage
 /// that lasts longer is forgotten then: a mixer that starts in such an outage has to be ready within 30 s.
 const PRESUMED_DOWN_S: f64 = 25.0;
+/// The same for a process to which discovery has never answered, and all of whose calls have ended in one way without a byte:
+/// nine in ten that restart have to be ready within 10 s (seconds).
+const PRESUMED_DOWN_AT_START_S: f64 = 4.0;
 /// The same after so many connections in a row that were refused: nobody is there.
 const DOWN_AFTER_REFUSED_CONNECTIONS: u32 = 2;
 /// The first repeats come within this time and a draw (seconds). Together with the time of an answer, two repeats have to fit
@@ -22,6 +25,8 @@
 /// (seconds), and a queue of so long is no harm, for calls are given up after 2 s.
 const CALL_TURN_S: f64 = 0.004;
 const HARMLESS_QUEUE_S: f64 = 1.0;
+/// A call that need not wait and ended within this time was prompt (seconds).
+pub const PROMPT_S: f64 = 0.05;
 /// After so many repeats in a row the wait doubles each time, up to the spread, or this (seconds): a small fleet goes on to ask
 /// within the grace, however long discovery ends its calls.
 const QUICK_RETRIES: u32 = 3;
@@ -94,11 +99,16 @@
     /// Calls that were repeated before their time, since the last answer.
     retries: u32,
     refused_connections: u32, // in a row
+    /// How the last call ended.
+    last_end: Option<CallEnd>,
     /// How the last call ended that ended without a byte.
     last_silent_end: Option<CallEnd>,
     /// Calls have ended so for so long that this says only that discovery is down, until it answers.
     closing_means_down: bool,
     resetting_means_down: bool,
+    has_answered: bool,
+    /// Whether calls have ended in more than one way.
+    has_mixed_ends: bool,
     count: u64,
 }
 
@@ -112,9 +122,11 @@
     pub fn call_ended(&mut self, end: CallEnd, since: f64, now: f64) {
         self.presume(now);
         self.count += u64::from(end.may_have_answer());
-        if end == CallEnd::CutOff && !self.missing.is_some_and(|missing| missing.is_certain) {
+        if end == CallEnd::CutOff && self.last_end != Some(CallEnd::CutOff) {
             self.retries = 0; // discovery is there, whatever calls came to before
         }
+        self.has_mixed_ends |= self.last_end.is_some_and(|last| last != end);
+        self.last_end = Some(end);
         self.refused_connections = match end {
             CallEnd::NotSent => self.refused_connections.saturating_add(1),
             _ => 0,
@@ -135,6 +147,11 @@
         self.retries += u32::from(self.is_retry_soon(end, now));
     }
 
+    /// Something may be told from then on that nobody reads.
+    pub fn news_may_be_missing(&mut self, since: f64, now: f64) {
+        self.is_missing(since, now, false);
+    }
+
     /// Something counts as told since then that nobody has read.
     pub fn news_missing(&mut self, since: f64, now: f64) {
         self.is_missing(since, now, true);
@@ -143,24 +160,22 @@
     /// A call that was made at that time was answered whole.
     pub fn answered(&mut self, made_at: f64) {
         self.missing = self.missing.filter(|missing| made_at < missing.noticed_at);
+        self.has_answered = true;
         if self.missing.is_none() {
-            *self = LostAnswers {
-                count: self.count,
-                arriving_since: self.arriving_since,
-                ..LostAnswers::default()
-            };
+            let LostAnswers { count, arriving_since, has_answered, .. } = *self;
+            *self = LostAnswers { count, arriving_since, has_answered, ..LostAnswers::default() };
         }
     }
 
     /// Since when an answer may be missing, as of now.
     pub fn since(&self, now: f64) -> Option<f64> {
-        let missing = self.missing.filter(|missing| !is_presumed_none(missing, now));
+        let missing = self.missing.filter(|missing| !self.is_presumed_none(missing, now));
         missing.map(|missing| missing.since).into_iter().chain(self.arriving_since).reduce(f64::min)
     }
 
     /// Whether a call has to be made for an answer that is missing.
     pub fn needs_call(&self, now: f64) -> bool {
-        self.missing.is_some_and(|missing| !is_presumed_none(&missing, now))
+        self.missing.is_some_and(|missing| !self.is_presumed_none(&missing, now))
     }
 
     /// Whether a call that has ended so is to be repeated before its time: an answer is missing, or may be.
@@ -169,12 +184,13 @@
     }
 
     /// How long to wait with the next call after one that ended without an answer (seconds), among so many mixers that ask
-    /// the same discovery; `jitter` is from 0 to 1.
-    pub fn retry_delay_s(&self, mixers: u32, jitter: f64) -> f64 {
+    /// the same discovery; `was_prompt` is whether that one ended as soon as it was made, `jitter` is from 0 to 1.
+    pub fn retry_delay_s(&self, mixers: u32, was_prompt: bool, jitter: f64) -> f64 {
         let fleet_turn_s = f64::from(mixers) * CALL_TURN_S;
         let spread_s = (fleet_turn_s - HARMLESS_QUEUE_S).clamp(MIN_RETRY_SPREAD_S, MAX_RETRY_S);
         let doublings = self.retries.saturating_sub(QUICK_RETRIES).min(16);
-        let first_s = MIN_RETRY_S + jitter * spread_s;
+        // Where calls end at once there is no queue.
+        let first_s = MIN_RETRY_S + jitter * if was_prompt { MIN_RETRY_SPREAD_S } else { spread_s };
         (first_s * f64::from(doublings).exp2()).min(first_s.max(spread_s).max(MIN_RETRY_BOUND_S))
     }
 
@@ -206,6 +222,12 @@
         });
     }
 
+    fn is_presumed_none(&self, missing: &MissingAnswer, now: f64) -> bool {
+        let was_never_there = !self.has_answered && !self.has_mixed_ends;
+        let presumed_s = if was_never_there { PRESUMED_DOWN_AT_START_S } else { PRESUMED_DOWN_S };
+        !missing.is_certain && now >= missing.suspected_at + presumed_s
+    }
+
     /// A call that ended in another way than the one before may be one that was answered.
     fn suspect(&mut self, end: CallEnd, now: f64) {
         let is_other = self.last_silent_end.replace(end) != Some(end);
@@ -216,7 +238,7 @@
 
     /// An answer that may be missing for long, while calls ended in one way, is none: discovery is down.
     fn presume(&mut self, now: f64) {
-        if self.missing.is_some_and(|missing| is_presumed_none(&missing, now)) {
+        if self.missing.is_some_and(|missing| self.is_presumed_none(&missing, now)) {
             self.missing = None;
             self.closing_means_down |= self.last_silent_end == Some(CallEnd::Closed);
             self.resetting_means_down |= self.last_silent_end == Some(CallEnd::Reset);
@@ -224,9 +246,5 @@
     }
 }
 
-fn is_presumed_none(missing: &MissingAnswer, now: f64) -> bool {
-    !missing.is_certain && now >= missing.suspected_at + PRESUMED_DOWN_S
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/choices/lost_answer/tests.rs
+++ b/src/choices/lost_answer/tests.rs
@@ -7,8 +7,10 @@
 /// What is used of a grace of 0.5 s.
 const USED_GRACE_S: f64 = 0.3;
 
+/// Answers of a discovery that has answered before.
 fn after(ends: &[(CallEnd, f64)]) -> LostAnswers {
     let mut answers = LostAnswers::default();
+    answers.answered(AT);
     for (end, at) in ends {
         answers.call_ended(*end, *at, *at);
     }
@@ -107,12 +109,18 @@
 /// Two repeats fit into the grace, also where they are drawn late; those of a fleet are spread.
 #[test]
 fn repeats_come_within_the_grace_and_grow_rarer() {
-    let delay_s =
-        |lost: usize, mixers: u32| after(&vec![(CallEnd::CutOff, AT); lost]).retry_delay_s(mixers, 1.0);
+    let delay_s = |lost: usize, mixers: u32| {
+        after(&vec![(CallEnd::CutOff, AT); lost]).retry_delay_s(mixers, false, 1.0)
+    };
     assert!(delay_s(1, 4) + delay_s(2, 4) + delay_s(3, 4) < USED_GRACE_S);
     assert!(delay_s(1, 300) < USED_GRACE_S);
     assert!(delay_s(50, 4) <= 0.15, "a small fleet asks soon, however long it lasts");
     assert!(delay_s(50, 300) < USED_GRACE_S, "the queue of 300 is no harm");
+    let prompt_s = |lost: usize| after(&vec![(CallEnd::Closed, AT); lost]).retry_delay_s(860, true, 1.0);
+    assert!(
+        prompt_s(1) + prompt_s(2) + prompt_s(3) < USED_GRACE_S && prompt_s(20) > 1.0,
+        "there is no queue"
+    );
     assert!((1.0..=1.5).contains(&delay_s(1, 860)) && (1.0..=1.5).contains(&delay_s(50, 860)));
 }
 
@@ -148,3 +156,20 @@
     answers.call_ended(CallEnd::Closed, AT + 3.0, AT + 3.0);
     assert_eq!(answers.since(AT + 2.9 + PRESUMED_DOWN_S), Some(AT));
 }
+
+/// A mixer that starts while each call is closed or reset serves by the list that it has: nobody has ever been there.
+#[rstest]
+#[case(CallEnd::Closed)]
+#[case(CallEnd::Reset)]
+fn a_discovery_that_was_never_there_is_down_soon(#[case] end: CallEnd) {
+    let mut answers = LostAnswers::default();
+    for call in 0..39 {
+        let at = AT + 0.1 * f64::from(call);
+        answers.call_ended(end, at, at);
+        assert_eq!(answers.since(at), Some(AT));
+    }
+    let mut mixed = answers;
+    assert_eq!(answers.since(AT + PRESUMED_DOWN_AT_START_S), None);
+    mixed.call_ended(CallEnd::Refused, AT + 3.9, AT + 3.9);
+    assert_eq!(mixed.since(AT + PRESUMED_DOWN_AT_START_S), Some(AT), "the first ones may have been answered");
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -492,7 +492,8 @@
         let (end, since) = (conn.call_end(why), self.answer_not_before(conn));
         self.drop_conn(key);
         if role == Role::Watch || open_call.is_some() {
-            self.call_ended(end, since);
+            let was_prompt = open_call.is_some_and(|open| open.is_prompt(self.now));
+            self.call_ended(end, since, was_prompt);
             self.call_failed(role, why, open_call.map(|open| open.made_at), end);
         }
     }
@@ -503,7 +504,7 @@
         let since = conn.answer_arriving_since();
         self.drop_conn(key);
         if let Some(since) = since {
-            self.call_ended(CallEnd::CutOff, since);
+            self.call_ended(CallEnd::CutOff, since, false);
         }
     }
 
--- a/src/net/discovery_conn.rs
+++ b/src/net/discovery_conn.rs
@@ -5,7 +5,7 @@
 
 use super::came_up;
 use super::http::{HttpError, Message, Reader};
-use crate::choices::lost_answer::CallEnd;
+use crate::choices::lost_answer::{CallEnd, PROMPT_S};
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
 
@@ -71,6 +71,13 @@
     pub(super) timeout_s: f64,
 }
 
+impl OpenCall {
+    /// Whether it need not wait, and was made just before.
+    pub(super) fn is_prompt(&self, now: f64) -> bool {
+        !self.call.waits() && now < self.made_at + PROMPT_S
+    }
+}
+
 /// A connection to discovery.
 pub struct DiscoveryConn {
     /// Its socket.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -253,6 +253,7 @@
         if let Some(lease) = state.lease {
             self.lease.inherit(self.now, lease);
             self.publish_lease();
+            self.retry_for_missing_answer();
         }
         let names: BTreeMap<u32, String> = state.names.into_iter().collect();
         let mut beliefs = state.beliefs;
--- a/src/net/lease.rs
+++ b/src/net/lease.rs
@@ -108,15 +108,25 @@
     }
 
     /// A call to discovery has ended without a whole list, and an answer may be missing that was not written before `since`:
-    /// another call is made soon.
-    pub(super) fn call_ended(&mut self, end: CallEnd, since: f64) {
+    /// another call is made soon. `was_prompt` is whether it ended as soon as it was made.
+    pub(super) fn call_ended(&mut self, end: CallEnd, since: f64, was_prompt: bool) {
         self.lease.call_ended(end, since, self.now);
-        if !self.lease.lost_answers().is_retry_soon(end, self.now) {
-            return;
+        if self.lease.lost_answers().is_retry_soon(end, self.now) {
+            self.retry_soon(was_prompt);
+        }
+    }
+
+    /// Where an answer is missing from the start another call is made soon.
+    pub(super) fn retry_for_missing_answer(&mut self) {
+        if self.lease.lost_answers().needs_call(self.now) {
+            self.retry_soon(false);
         }
+    }
+
+    fn retry_soon(&mut self, was_prompt: bool) {
         let Fleet { mixers, pushed } = discovery::fleet_of(&self.deployment.policy);
         let sharers = if pushed { 1 } else { mixers };
-        let delay_s = self.lease.lost_answers().retry_delay_s(sharers, self.rng.rand_float());
+        let delay_s = self.lease.lost_answers().retry_delay_s(sharers, was_prompt, self.rng.rand_float());
         self.retry_discovery_after(delay_s);
     }
 
