Use no unconfirmed list while an answer is missing, and note requests when they are written

Read in the code: an answer that comes in pieces and then stops was given up only by the call's own time, for the put-off deadline had no timer. Change: ListLease::known_until, discovery_event, soak/clients.rs.

--- a/crates/wharfhub-lab/src/soak/clients.rs
+++ b/crates/wharfhub-lab/src/soak/clients.rs
@@ -122,16 +122,14 @@
         let leaves_after = leaves.then(|| wait.mul_f64(rng.random_range(0.0..1.0)));
         let text = self.text(&id, keyed, wait);
         let is_kept = kept.is_some();
-        let mut at = self.recorder.now();
-        let mut end = match kept.take() {
+        let (mut at, mut end) = match kept.take() {
             Some(stream) => self.exchange(stream, &text, wait, leaves_after, kept),
             None => self.exchange_anew(mixer, &text, wait, leaves_after, kept),
         };
         let mut broke_on_kept_at = None;
         if let (true, RequestEnd::Broken { at: broke_at, .. }) = (is_kept, end) {
             broke_on_kept_at = Some(broke_at);
-            at = self.recorder.now();
-            end = self.exchange_anew(mixer, &text, wait, leaves_after, kept);
+            (at, end) = self.exchange_anew(mixer, &text, wait, leaves_after, kept);
         }
         let request = Request { id, mixer, at, wait_s: wait.as_secs_f64(), keyed, broke_on_kept_at, end };
         self.recorder.record(|history| history.requests.push(request));
@@ -144,17 +142,18 @@
         wait: Duration,
         leaves_after: Option<Duration>,
         kept: &mut Option<BufReader<TcpStream>>,
-    ) -> RequestEnd {
+    ) -> (f64, RequestEnd) {
         if !self.doors[mixer].takes_new.load(Ordering::Relaxed) {
-            return RequestEnd::NotTaken;
+            return (self.recorder.now(), RequestEnd::NotTaken);
         }
         match TcpStream::connect(self.addresses[mixer]) {
             Ok(stream) => self.exchange(BufReader::new(stream), text, wait, leaves_after, kept),
-            Err(_) => RequestEnd::NotTaken,
+            Err(_) => (self.recorder.now(), RequestEnd::NotTaken),
         }
     }
 
-    /// Sends a request and waits for its answer; a connection that stays alive is kept.
+    /// Sends a request and waits for its answer; a connection that stays alive is kept. Gives when it was written, which may
+    /// be long after its connection was begun.
     fn exchange(
         &self,
         mut stream: BufReader<TcpStream>,
@@ -162,15 +161,17 @@
         wait: Duration,
         leaves_after: Option<Duration>,
         kept: &mut Option<BufReader<TcpStream>>,
-    ) -> RequestEnd {
+    ) -> (f64, RequestEnd) {
         let _ = stream.get_ref().set_nodelay(true);
+        let written_at = self.recorder.now();
         if let Err(error) = stream.get_mut().write_all(text.as_bytes()) {
-            return RequestEnd::Broken { at: self.recorder.now(), is_reset: is_reset(&error) };
+            let end = RequestEnd::Broken { at: self.recorder.now(), is_reset: is_reset(&error) };
+            return (written_at, end);
         }
         let until = Instant::now() + leaves_after.unwrap_or(wait + LATE);
         let answer = read_answer(&mut stream, until);
         let at = self.recorder.now();
-        match answer {
+        let end = match answer {
             Ok(answer) => {
                 if answer.keeps_alive {
                     *kept = Some(stream);
@@ -183,7 +184,8 @@
             }
             Err(error) if is_timeout(&error) => RequestEnd::Silent,
             Err(error) => RequestEnd::Broken { at, is_reset: is_reset(&error) },
-        }
+        };
+        (written_at, end)
     }
 
     fn text(&self, id: &str, keyed: bool, wait: Duration) -> String {
--- a/src/choices/list_lease.rs
+++ b/src/choices/list_lease.rs
@@ -248,7 +248,9 @@
 
     /// The same, if all answers have arrived.
     fn known_until(&self, now: f64) -> f64 {
-        let is_usable = self.confirmed_at.is_some() || self.is_hold_over(now);
+        // Calls that may have been answered are no proof that discovery is away.
+        let is_unconfirmed = self.confirmed_at.is_none();
+        let is_usable = !is_unconfirmed || (self.is_hold_over(now) && !self.lost_answers.needs_call(now));
         let unanswered = self.first_call_at.filter(|at| now >= at + SLOW_CALL_S);
         let unreachable =
             self.failed_call_at.into_iter().chain(unanswered).reduce(f64::max).filter(|_| is_usable);
--- a/src/choices/list_lease/tests.rs
+++ b/src/choices/list_lease/tests.rs
@@ -44,6 +44,20 @@
     assert!(!lease.is_in_force(STARTED_AT + 10.1), "and nobody has asked since");
 }
 
+/// Calls whose answers may have been lost are no proof that discovery is away: the list from before the start is not used
+/// for a grace either.
+#[test]
+fn a_list_from_before_the_start_is_not_acted_on_while_an_answer_is_missing() {
+    let mut lease = lease();
+    for place in 0..20 {
+        let at = STARTED_AT + 0.1 * f64::from(place);
+        lease.call_failed(at, at);
+        lease.call_ended(CallEnd::Reset, at, at);
+        assert!(!lease.is_in_force(at), "{at}");
+    }
+    assert!(lease.is_in_force(STARTED_AT + 4.0), "nobody has ever been there");
+}
+
 /// A call that nobody answered for long says more than one that was reset.
 #[test]
 fn a_call_that_takes_long_to_fail_counts_as_many() {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -324,7 +324,7 @@
         }
         let due_before = if was_up { conn.due } else { f64::MAX };
         let received = conn.receive(self.previous_turn_at, self.now);
-        if conn.due < due_before {
+        if conn.due != due_before && conn.due < f64::MAX {
             self.timers.add(conn.due, Deadline::Conn(key));
         }
         match received {
