Ask again after standstills of over 0.2 s only, where lists are pushed

Cause: read in the code: hold-ups of 0.05 s are ordinary on a busy machine, and one right before an outage would have ended the service for its length. Change: STANDSTILL_S beside HELD_UP_S; what reckons the age of requests stays at 0.05 s.

--- a/src/net/lease.rs
+++ b/src/net/lease.rs
@@ -14,6 +14,8 @@
 /// A loop that was away from its poll for so long asks for discovery's news before it handles anything else, and sends
 /// nothing before that (seconds). The drain grace that is used leaves room for it.
 pub(super) const HELD_UP_S: f64 = 0.05;
+/// A loop that was away for longer has stood still (seconds): hold-ups of 0.15 s are allowed for.
+pub(super) const STANDSTILL_S: f64 = 0.2;
 
 impl Mixer {
     /// Takes what discovery has said before anything that clients bring: it counts as told from the moment it was written,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -310,8 +310,11 @@
             self.now = self.clock.now();
             self.previous_turn_at = std::mem::replace(&mut self.turn_began_at, self.now);
             let woke_at = self.now;
-            if woke_at > std::mem::replace(&mut wake_at, f64::INFINITY) + lease::HELD_UP_S {
+            let overslept_s = woke_at - std::mem::replace(&mut wake_at, f64::INFINITY);
+            if overslept_s > lease::STANDSTILL_S {
                 stood_still_since.get_or_insert(self.previous_turn_at);
+            }
+            if overslept_s > lease::HELD_UP_S {
                 // A stop comes at the end of a system call: the poll may have looked before it.
                 self.turn_began_at = self.previous_turn_at;
             }
@@ -349,7 +352,7 @@
                 self.settle();
             }
             self.now = self.clock.now();
-            if self.now > woke_at + lease::HELD_UP_S {
+            if self.now > woke_at + lease::STANDSTILL_S {
                 stood_still_since = Some(self.turn_began_at);
             }
             while let Some(due) = self.timers.next(self.now) {
