Presume an outage at a start where calls are reset, closed or refused beside each other

Change: only a close beside a reset, or a part of an answer, speaks against the presumption of 4 s at a start.

--- a/src/choices/lost_answer.rs
+++ b/src/choices/lost_answer.rs
@@ -12,8 +12,8 @@
 /// for so long, and no other call has ended in another such way, it is down (seconds). What was lost right before an outage
 /// that lasts longer is forgotten then: a mixer that starts in such an outage has to be ready within 30 s.
 const PRESUMED_DOWN_S: f64 = 25.0;
-/// The same for a process to which discovery has never answered, and all of whose calls have ended in one way without a byte:
-/// nine in ten that restart have to be ready within 10 s (seconds).
+/// The same for a process to which discovery has never answered, and whose calls were all reset, or all closed, but for those that
+/// were refused or not answered: so an outage looks, and nine in ten that restart have to be ready within 10 s (seconds).
 const PRESUMED_DOWN_AT_START_S: f64 = 4.0;
 /// The same after so many connections in a row that were refused: nobody is there.
 const DOWN_AFTER_REFUSED_CONNECTIONS: u32 = 2;
@@ -107,7 +107,7 @@
     closing_means_down: bool,
     resetting_means_down: bool,
     has_answered: bool,
-    /// Whether calls have ended in more than one way.
+    /// Whether calls have ended both by a close and by a reset, or with a part of an answer.
     has_mixed_ends: bool,
     count: u64,
 }
@@ -125,14 +125,16 @@
         if end == CallEnd::CutOff && self.last_end != Some(CallEnd::CutOff) {
             self.retries = 0; // discovery is there, whatever calls came to before
         }
-        self.has_mixed_ends |= self.last_end.is_some_and(|last| last != end);
         self.last_end = Some(end);
         self.refused_connections = match end {
             CallEnd::NotSent => self.refused_connections.saturating_add(1),
             _ => 0,
         };
         match end {
-            CallEnd::CutOff => self.is_missing(since, now, true),
+            CallEnd::CutOff => {
+                self.has_mixed_ends = true;
+                self.is_missing(since, now, true);
+            }
             CallEnd::Closed if self.closing_means_down => {}
             CallEnd::Reset if self.resetting_means_down => {}
             CallEnd::Closed | CallEnd::Reset => {
@@ -230,7 +232,9 @@
 
     /// A call that ended in another way than the one before may be one that was answered.
     fn suspect(&mut self, end: CallEnd, now: f64) {
-        let is_other = self.last_silent_end.replace(end) != Some(end);
+        let before = self.last_silent_end.replace(end);
+        let is_other = before != Some(end);
+        self.has_mixed_ends |= is_other && before.is_some();
         if let Some(missing) = self.missing.as_mut().filter(|_| is_other) {
             missing.suspected_at = now;
         }
