Leave a call to discovery open that is not answered in time: its answer counts

Cause: at its timeout of 2.0 s the mixer closed the call's connection and took it for certain that no answer was missing. Discovery answers in turn and waits up to 2.0 s itself, so that the answer can cross the close: it counts as notified and is lost; the next call is answered seconds later.

Change: an overdue call stays open beside the later ones (three at most), and its answer is taken; also checks, complete lists, the first call, the watch.

--- a/src/endpoints/lease.rs
+++ b/src/endpoints/lease.rs
@@ -138,7 +138,7 @@
     failed_calls: u32,
     /// When the last call failed.
     failed_at: f64,
-    /// When the call in flight was made, as long as nothing was confirmed.
+    /// When the oldest call in flight was made, as long as nothing was confirmed.
     first_call_at: Option<f64>,
     last_request_at: f64,
     suspended_until: f64,
@@ -190,7 +190,9 @@
 
     /// A call was made now.
     pub fn call_made(&mut self, now: f64) {
-        self.first_call_at = Some(now).filter(|_| self.confirmed_at.is_none());
+        if self.confirmed_at.is_none() {
+            self.first_call_at.get_or_insert(now);
+        }
     }
 
     /// A call ended now. Gives when the next one is made.
@@ -211,7 +213,11 @@
                 answer_not_before,
             } => {
                 self.missing_answers.call_ended(end, answer_not_before, now);
+                let first_call_at = self.first_call_at;
                 self.record_failure(began_at, now);
+                if end == CallEnd::GivenUp {
+                    self.first_call_at = first_call_at; // the call may still be answered
+                }
                 self.next_call(end, now)
             }
             CallOutcome::NotOpened => {
--- a/src/endpoints/lease/tests.rs
+++ b/src/endpoints/lease/tests.rs
@@ -331,3 +331,21 @@
     confirm_by_call(&mut after, 5.2, 5.5);
     assert!(after.is_in_force(5.5));
 }
+
+/// A call that is not answered in time stays open: at the start the list is held back from its beginning on, not from the
+/// beginning of the call beside it.
+#[test]
+fn a_list_from_before_the_start_is_held_back_from_the_first_open_call_on() {
+    let mut lease = lease();
+    lease.call_made(STARTED_AT + 0.1);
+    let next = fail_with(
+        &mut lease,
+        CallEnd::GivenUp,
+        STARTED_AT + 0.1,
+        STARTED_AT + 0.4,
+    );
+    assert_eq!(next, NextCall::AsScheduled);
+    lease.call_made(STARTED_AT + 0.4);
+    assert!(!lease.is_in_force(STARTED_AT + 1.4));
+    assert!(lease.is_in_force(STARTED_AT + START_HOLD_S));
+}
--- a/src/endpoints/missing_answers.rs
+++ b/src/endpoints/missing_answers.rs
@@ -45,7 +45,8 @@
     NotSent,
     /// Discovery answered that it has no list, or with a list that can't be used.
     Refused,
-    /// The call timed out, and no byte of an answer had been received. Terms of their own apply to a silent watch or call.
+    /// No byte of an answer was received in time. The call may still be open, and its answer counts. Terms of their own apply
+    /// to a silent watch or call.
     GivenUp,
     /// The connection was closed before a byte was received: an answer may have been written.
     Closed,
--- a/src/endpoints/watch_schedule.rs
+++ b/src/endpoints/watch_schedule.rs
@@ -32,11 +32,15 @@
 /// The doubled delay is at most this many times as long as discovery takes to answer each mixer once.
 const MAX_RELIEF_TURNS: f64 = 4.0;
 /// Timeout of a call that opens a watch and is answered without waiting (seconds).
-const OPEN_TIMEOUT_S: f64 = 2.0;
+pub const OPEN_TIMEOUT_S: f64 = 2.0;
 /// Timeout of the first such calls after a watch that worked (seconds): a lost watch, the calls that failed and the delays
 /// between them have to fit into the 6 s within which a change counts as notified.
 const REOPEN_TIMEOUT_S: f64 = 0.5;
 const MAX_QUICK_REOPENS: u32 = 2;
+/// In a small fleet a call is overdue after this time, so that the answer to the next one comes within the drain grace (seconds).
+const MIN_OVERDUE_S: f64 = 0.3;
+/// The same for each mixer of the fleet: discovery answers all of them in less, also where each call gets the complete list.
+const OVERDUE_EACH_S: f64 = 0.1;
 
 /// Timeout of a call that opens a watch and is answered without waiting (seconds), after that many failures in a row, the end
 /// of the watch before included; `has_worked` is whether there was a watch before.
@@ -48,6 +52,22 @@
     }
 }
 
+/// When a call that opens a watch is overdue, so that another one is made beside it (seconds), among `mixers` that call the same
+/// discovery, while `overdue_calls` are open already. Discovery may have written the answer to a call that it seems to leave
+/// open, and a change in it counts as notified. A small fleet soon calls again, less often the more calls are open.
+pub fn overdue_after_s(mixers: u32, overdue_calls: usize) -> f64 {
+    let overdue_s = (f64::from(mixers) * OVERDUE_EACH_S).max(MIN_OVERDUE_S);
+    let doublings = overdue_calls.min(8) as f64;
+    (overdue_s * doublings.exp2()).min(OPEN_TIMEOUT_S)
+}
+
+/// Delay before the call after one that failed while an overdue call is open (seconds), among `mixers` that call the same
+/// discovery; none where these are too many to call more often than the watch schedule says.
+pub fn retry_beside_overdue_s(mixers: u32) -> Option<f64> {
+    let delay_s = overdue_after_s(mixers, 0);
+    (delay_s < OPEN_TIMEOUT_S).then_some(delay_s)
+}
+
 /// When a mixer calls discovery next. Times are of the caller's clock (seconds).
 #[derive(Clone, Debug)]
 pub struct WatchSchedule {
--- a/src/endpoints/watch_schedule/tests.rs
+++ b/src/endpoints/watch_schedule/tests.rs
@@ -152,3 +152,24 @@
         assert!(schedule.take_due(now + 38.0));
     }
 }
+
+/// A call is overdue the later, the longer discovery takes for the fleet and the more calls are open already; only a fleet
+/// that calls more often than by the schedule does not wait for that.
+#[rstest::rstest]
+#[case::few(3, 0, 0.3, Some(0.3))]
+#[case::few_with_two_open(3, 2, 1.2, Some(0.3))]
+#[case::some(12, 0, 1.2, Some(1.2))]
+#[case::some_with_one_open(12, 1, OPEN_TIMEOUT_S, Some(1.2))]
+#[case::many(32, 0, OPEN_TIMEOUT_S, None)]
+fn a_call_is_overdue_by_the_size_of_the_fleet_and_the_calls_open(
+    #[case] mixers: u32,
+    #[case] overdue_calls: usize,
+    #[case] expected_s: f64,
+    #[case] retry_s: Option<f64>,
+) {
+    let is_close = |a: f64, b: f64| (a - b).abs() < 1e-9;
+    assert!(is_close(overdue_after_s(mixers, overdue_calls), expected_s));
+    let retry = retry_beside_overdue_s(mixers);
+    assert_eq!(retry.is_some(), retry_s.is_some());
+    assert!(retry.zip(retry_s).is_none_or(|(a, b)| is_close(a, b)));
+}
--- a/src/net/discovery/answers.rs
+++ b/src/net/discovery/answers.rs
@@ -7,7 +7,7 @@
 use crate::endpoints::list_format;
 use crate::endpoints::missing_answers::CallEnd;
 use crate::net::discovery::calls::Step;
-use crate::net::discovery::client::DiscoveryClient;
+use crate::net::discovery::client::{fleet_of, DiscoveryClient};
 use crate::net::discovery::connection::{Call, DiscoveryError, OpenCall, Received, Role};
 use crate::net::discovery::link::{connection, connection_mut, open_call};
 use crate::net::discovery::list;
@@ -74,6 +74,8 @@
     pub(super) role: Role,
     pub(super) open: OpenCall,
     pub(super) list: ListAnswer,
+    /// Whether another call had taken its place.
+    was_overdue: bool,
 }
 
 impl AnsweredCall {
@@ -91,6 +93,17 @@
     Failed,
 }
 
+/// What is known of a failed call as such.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failure {
+    /// It has ended.
+    Ended,
+    /// It was not answered in time and stays open.
+    Overdue,
+    /// It has ended, and had counted as failed since it was overdue.
+    EndedOverdue,
+}
+
 /// A call, or the connection of the watch, that failed.
 pub(super) struct FailedCall {
     role: Role,
@@ -98,6 +111,7 @@
     /// When the call was made; none if no call was in flight.
     made_at: Option<f64>,
     end: CallEnd,
+    failure: Failure,
 }
 
 impl DiscoveryClient {
@@ -198,9 +212,11 @@
         let role = connection.role;
         let open = connection.open_call?;
         connection.call_completed();
+        let was_overdue = self.link.overdue.remove(key);
         if !keep_alive {
             self.close(runtime, key);
         }
+        self.close_overdue_before(runtime, open.made_at);
         if list != ListAnswer::Outdated {
             let outcome = CallOutcome::Confirmed {
                 made_at: open.made_at,
@@ -213,9 +229,95 @@
             role,
             open,
             list,
+            was_overdue,
         })
     }
 
+    /// Closes overdue calls made before that time, when a call was made that is answered now: discovery handles calls in turn, so
+    /// that their answers are lost. One that is arriving is waited for.
+    fn close_overdue_before(&mut self, runtime: &mut Runtime, made_before: f64) {
+        let is_lost = |key: &ConnectionKey| {
+            connection(runtime, *key).is_some_and(|connection| {
+                let open = connection.open_call;
+                let is_older = open.is_some_and(|open| open.made_at < made_before);
+                is_older && connection.answer_arriving_since().is_none()
+            })
+        };
+        let lost: Vec<ConnectionKey> = self.link.overdue.iter().filter(is_lost).collect();
+        for key in lost {
+            self.close(runtime, key);
+        }
+    }
+
+    /// Whether the watch was opened by another call before this one, which was overdue, was answered.
+    pub(super) fn is_superseded(&self, runtime: &Runtime, answered: &AnsweredCall) -> bool {
+        answered.was_overdue && self.link.is_watch_open(runtime)
+    }
+
+    /// The connection of an overdue call that was answered becomes the watch. The call that was made in its place stays open: its
+    /// answer may be newer, and may be on its way.
+    pub(super) fn adopt_overdue(&mut self, runtime: &mut Runtime, answered: &AnsweredCall) {
+        if !answered.was_overdue {
+            return;
+        }
+        if let Some(later) = self.link.watch {
+            self.keep_or_close(runtime, later);
+        }
+        self.link.watch = connection(runtime, answered.key).map(|_| answered.key);
+    }
+
+    /// A call that was not answered in time stays open if none of its answer was received, and counts as failed until it is
+    /// answered. None if its connection has to be closed.
+    pub(super) fn leave_open(
+        &mut self,
+        runtime: &mut Runtime,
+        key: ConnectionKey,
+    ) -> Option<FailedCall> {
+        let reason = DiscoveryError::TimedOut;
+        let connection = connection(runtime, key)?;
+        let role = connection.role;
+        let end = connection.call_end(&reason);
+        let open = connection.open_call.filter(|_| end == CallEnd::GivenUp)?;
+        self.set_overdue(runtime, key);
+        let outcome = CallOutcome::Failed {
+            began_at: open.made_at,
+            end,
+            answer_not_before: runtime.previous_turn_at,
+        };
+        self.call_ended(runtime, outcome, false);
+        Some(FailedCall {
+            role,
+            reason,
+            made_at: Some(open.made_at),
+            end,
+            failure: Failure::Overdue,
+        })
+    }
+
+    /// Keeps a connection open whose call discovery may be answering; closes any other.
+    fn keep_or_close(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
+        let end = connection(runtime, key)
+            .map(|connection| connection.call_end(&DiscoveryError::TimedOut));
+        match end {
+            Some(CallEnd::GivenUp) => self.set_overdue(runtime, key),
+            Some(CallEnd::CutOff) => self.add_overdue(runtime, key),
+            _ => self.close(runtime, key),
+        }
+    }
+
+    fn set_overdue(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
+        if let Some(connection) = connection_mut(runtime, key) {
+            connection.due = f64::MAX;
+        }
+        self.add_overdue(runtime, key);
+    }
+
+    fn add_overdue(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
+        if let Some(oldest) = self.link.call_overdue(key) {
+            self.abandon_call(runtime, oldest);
+        }
+    }
+
     /// The list is not too long any more.
     pub(super) fn resume_calls(&mut self) {
         self.link.oversize.succeeded();
@@ -231,6 +333,7 @@
             ));
         }
         self.link.has_worked = true;
+        self.link.refuses_open_calls = false;
         self.link.unanswered_opens = 0;
         if failed_opens > 0 {
             CallsBefore::Failed
@@ -270,7 +373,7 @@
             Step::Wait
         } else if !self.lease.is_in_force(runtime.now) {
             // The answer was received long ago and read only now: it may be outdated.
-            self.call_for_changes(answered.key)
+            self.call_for_changes(runtime, answered.key)
         } else if !waits && self.link.check.postpone_watch(runtime) {
             Step::Wait
         } else if self.link.watch == Some(answered.key) {
@@ -289,6 +392,9 @@
         self.link.check.answered(runtime);
         let is_watch_working = self.link.is_watch_in_time(runtime) && !answered.has_change();
         if self.link.check.is_watch_postponed() || is_watch_working {
+            if answered.was_overdue {
+                self.close(runtime, answered.key);
+            }
             return Step::Wait;
         }
         if self.link.is_watch_open(runtime) {
@@ -302,8 +408,8 @@
         }
         if let Some(connection) = connection_mut(runtime, answered.key) {
             connection.role = Role::Watch;
+            self.link.connection_removed(answered.key);
             self.link.watch = Some(answered.key);
-            self.link.check_connection = None;
         }
         Step::Reconsider
     }
@@ -323,6 +429,11 @@
         let answer_not_before = connection
             .answer_arriving_since()
             .unwrap_or(runtime.previous_turn_at);
+        let failure = if self.link.overdue.contains(key) {
+            Failure::EndedOverdue
+        } else {
+            Failure::Ended
+        };
         self.close(runtime, key);
         if role == Role::Heartbeat && open.is_none() {
             return None;
@@ -334,12 +445,15 @@
             answer_not_before,
         };
         let was_prompt = open.is_some_and(|open| open.is_prompt(runtime.now));
-        self.call_ended(runtime, outcome, was_prompt);
+        if failure == Failure::Ended || end.may_have_answer() {
+            self.call_ended(runtime, outcome, was_prompt);
+        }
         Some(FailedCall {
             role,
             reason,
             made_at,
             end,
+            failure,
         })
     }
 
@@ -356,6 +470,7 @@
             reason,
             made_at: None,
             end: CallEnd::NotSent,
+            failure: Failure::Ended,
         }
     }
 
@@ -371,6 +486,8 @@
         }
         if failed.end.may_have_answer() {
             line += &format!("; {}", failed.end.label());
+        } else if failed.failure == Failure::Overdue {
+            line += "; it stays open, and its answer counts";
         }
         runtime.log(&line);
         if let Some(until) = self.link.oversize.blocked_until(runtime.now) {
@@ -382,13 +499,29 @@
     pub(super) fn after_failure(&mut self, runtime: &mut Runtime, failed: &FailedCall) -> Step {
         let is_refused = matches!(failed.reason, DiscoveryError::Status(400..=499));
         self.link.refuses_changes |= is_refused;
-        match failed.role {
-            Role::Watch => {
+        match (failed.failure, failed.role) {
+            (Failure::EndedOverdue, _) => {
+                self.link.refuses_open_calls |= matches!(failed.reason, DiscoveryError::Status(_));
+                self.abandon_old_watch(runtime);
+                Step::Wait
+            }
+            (_, Role::Watch) => {
                 let is_unanswered = matches!(failed.reason, DiscoveryError::TimedOut);
                 self.watch_failed(runtime, is_unanswered);
+                self.retry_beside_overdue(runtime, failed.failure);
                 Step::Wait
             }
-            Role::Heartbeat => self.check_failed(runtime),
+            (_, Role::Heartbeat) => self.check_failed(runtime),
+        }
+    }
+
+    /// While an overdue call is open, discovery may have written its answer: a small fleet calls again soon.
+    fn retry_beside_overdue(&mut self, runtime: &mut Runtime, failure: Failure) {
+        let mixers = fleet_of(&runtime.deployment.policy).sharers();
+        if let Some(delay_s) = self.link.retry_beside_overdue_s(mixers) {
+            let is_due = failure == Failure::Overdue;
+            self.link
+                .retry_after(runtime, if is_due { 0.0 } else { delay_s });
         }
     }
 
@@ -459,7 +592,7 @@
         }
     }
 
-    fn close(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
+    pub(super) fn close(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
         runtime.connections.remove(key);
         self.link.connection_removed(key);
     }
--- a/src/net/discovery/calls.rs
+++ b/src/net/discovery/calls.rs
@@ -8,7 +8,7 @@
 use crate::net::discovery::connection::{
     Call, DiscoveryConnection, DiscoveryError, OpenCall, Role,
 };
-use crate::net::discovery::link::{connection_mut, open_call, WHOLE_LIST_TIMEOUT_S};
+use crate::net::discovery::link::{connection_mut, open_call};
 use crate::net::runtime::Runtime;
 use crate::net::timer_queue::Deadline;
 use crate::net::ConnectionKey;
@@ -111,17 +111,18 @@
                 was_postponed: false,
             } => {
                 let call = self.link.opening_call(self.revision);
-                self.plan_opening(key, call)
+                self.plan_opening(runtime, key, call)
             }
             Opening::Check { since } => self.plan_check(key, since),
         }
     }
 
-    fn plan_opening(&self, key: ConnectionKey, call: Call) -> Step {
+    fn plan_opening(&self, runtime: &Runtime, key: ConnectionKey, call: Call) -> Step {
+        let mixers = fleet_of(&runtime.deployment.policy).sharers();
         Step::Make(PlannedCall {
             key,
             call,
-            timeout_s: self.link.open_timeout_s(call),
+            timeout_s: self.link.open_timeout_s(call, mixers),
         })
     }
 
@@ -136,14 +137,10 @@
     /// The next call on a connection whose last call was answered.
     pub(super) fn continue_watch(&mut self, runtime: &mut Runtime, key: ConnectionKey) -> Step {
         let Some(since) = self.revision else {
-            return Step::Make(PlannedCall {
-                key,
-                call: Call::WholeList,
-                timeout_s: WHOLE_LIST_TIMEOUT_S,
-            });
+            return self.plan_opening(runtime, key, Call::WholeList);
         };
         if self.lease.is_answer_missing(runtime.now) {
-            return self.call_for_changes(key);
+            return self.call_for_changes(runtime, key);
         }
         let times = self.link.check.watch_times(runtime);
         Step::Make(PlannedCall {
@@ -157,10 +154,10 @@
     }
 
     /// A call that discovery answers at once, on the connection of the watch, or on a new one if that was closed.
-    pub(super) fn call_for_changes(&self, key: ConnectionKey) -> Step {
+    pub(super) fn call_for_changes(&self, runtime: &Runtime, key: ConnectionKey) -> Step {
         match self.revision {
             Some(since) if self.link.watch == Some(key) => {
-                self.plan_opening(key, Call::Changes { since })
+                self.plan_opening(runtime, key, Call::Changes { since })
             }
             _ => Step::Reconsider,
         }
--- a/src/net/discovery/link.rs
+++ b/src/net/discovery/link.rs
@@ -9,13 +9,12 @@
 use crate::net::connection_table::Connection;
 use crate::net::discovery::connection::{Call, DiscoveryConnection, OpenCall, Role};
 use crate::net::discovery::heartbeat::WatchCheck;
+use crate::net::discovery::overdue::OverdueCalls;
 use crate::net::runtime::Runtime;
 use crate::net::timer_queue::Deadline;
 use crate::net::timer_queue::TIMER_TOLERANCE_S;
 use crate::net::ConnectionKey;
 
-/// A call for the complete list has to be answered within this time (seconds).
-pub(super) const WHOLE_LIST_TIMEOUT_S: f64 = 2.5;
 /// Of this many calls for changes in a row that timed out, the last one is a call for the complete list: a discovery that waits
 /// all the same answers this one. Not after other failures: a fleet that comes out of an outage would call for complete lists
 /// alone, each of which costs discovery many times as much.
@@ -25,6 +24,7 @@
 pub(super) struct DiscoveryLink {
     pub(super) watch: Option<ConnectionKey>,
     pub(super) check_connection: Option<ConnectionKey>,
+    pub(super) overdue: OverdueCalls,
     pub(super) check: WatchCheck,
     max_list_bytes: usize,
     /// Whether a watch has been answered.
@@ -33,6 +33,9 @@
     pub(super) failed_opens: u32,
     /// Of these, the last ones that timed out.
     pub(super) unanswered_opens: u32,
+    /// Whether discovery has ended an overdue call with an error: it is crowded, and refuses a mixer's open call together with the
+    /// one beside it. Until its next answer no call is made beside an open one before that could be answered.
+    pub(super) refuses_open_calls: bool,
     /// Whether discovery has refused a call for changes as such.
     pub(super) refuses_changes: bool,
     /// Suspends calls while discovery's list is too long.
@@ -49,11 +52,13 @@
         DiscoveryLink {
             watch: None,
             check_connection: None,
+            overdue: OverdueCalls::default(),
             check: WatchCheck::new(fleet, now, jitter),
             max_list_bytes,
             has_worked: false,
             failed_opens: 0,
             unanswered_opens: 0,
+            refuses_open_calls: false,
             refuses_changes: false,
             oversize: Backoff::default(),
             retry_at: None,
@@ -81,10 +86,23 @@
                 *slot = None;
             }
         }
+        self.overdue.remove(key);
+    }
+
+    /// The call of that connection is overdue: it stays open, and another call may take its place. Gives the overdue call that
+    /// is to be closed for it, if there are too many.
+    pub(super) fn call_overdue(&mut self, key: ConnectionKey) -> Option<ConnectionKey> {
+        self.connection_removed(key);
+        self.overdue.add(key)
     }
 
     /// The open connections, the watch first.
-    pub(super) fn connections(&self) -> impl Iterator<Item = ConnectionKey> {
+    pub(super) fn connections(&self) -> impl Iterator<Item = ConnectionKey> + '_ {
+        self.current_connections().chain(self.overdue.iter())
+    }
+
+    /// The connections of the watch and of its checks.
+    fn current_connections(&self) -> impl Iterator<Item = ConnectionKey> {
         self.watch.into_iter().chain(self.check_connection)
     }
 
@@ -98,12 +116,23 @@
         }
     }
 
-    /// Timeout of a call that opens a watch (seconds).
-    pub(super) fn open_timeout_s(&self, call: Call) -> f64 {
-        match call {
-            Call::WholeList => WHOLE_LIST_TIMEOUT_S,
-            _ => watch_schedule::open_timeout_s(self.has_worked, self.failed_opens),
+    /// After which time a call that opens a watch is overdue (seconds), among `mixers` that call the same discovery.
+    pub(super) fn open_timeout_s(&self, call: Call, mixers: u32) -> f64 {
+        if call == Call::WholeList || self.refuses_open_calls {
+            return watch_schedule::OPEN_TIMEOUT_S;
         }
+        watch_schedule::open_timeout_s(self.has_worked, self.failed_opens).min(
+            watch_schedule::overdue_after_s(mixers, self.overdue.count()),
+        )
+    }
+
+    /// Delay before the call after one that failed while an overdue call is open (seconds), among `mixers` that call the same
+    /// discovery; none if the watch schedule decides alone.
+    pub(super) fn retry_beside_overdue_s(&self, mixers: u32) -> Option<f64> {
+        if self.overdue.count() == 0 || self.refuses_open_calls {
+            return None;
+        }
+        watch_schedule::retry_beside_overdue_s(mixers)
     }
 
     /// Schedules the retry of a failed call, unless one comes sooner. There is one such time, because each failed call would add
@@ -125,9 +154,9 @@
         self.retry_at = None;
     }
 
-    /// Whether any call is in flight.
+    /// Whether any call is in flight that is not overdue.
     pub(super) fn is_call_in_flight(&self, runtime: &Runtime) -> bool {
-        self.connections()
+        self.current_connections()
             .any(|key| open_call(runtime, Some(key)).is_some())
     }
 
@@ -144,7 +173,7 @@
         })
     }
 
-    /// Since when an incomplete answer has been arriving, on either connection.
+    /// Since when an incomplete answer has been arriving, on any connection.
     pub(super) fn answer_arriving_since(&self, runtime: &Runtime) -> Option<f64> {
         self.connections()
             .filter_map(|key| connection(runtime, key)?.answer_arriving_since())
--- a/src/net/discovery/routing.rs
+++ b/src/net/discovery/routing.rs
@@ -141,6 +141,9 @@
         self.publish_lease();
         self.discovery.resume_calls();
         match answered.role {
+            Role::Watch if self.discovery.is_superseded(&self.runtime, &answered) => {
+                self.discovery.close(&mut self.runtime, answered.key);
+            }
             Role::Watch => self.watch_answered(&answered),
             Role::Heartbeat => {
                 let step = self.discovery.check_answered(&mut self.runtime, &answered);
@@ -170,6 +173,7 @@
     }
 
     fn watch_answered(&mut self, answered: &AnsweredCall) {
+        self.discovery.adopt_overdue(&mut self.runtime, answered);
         let calls_before = self.discovery.watch_confirmed(&mut self.runtime);
         if calls_before == CallsBefore::Failed {
             self.take_entries(false, Vec::new()); // the decision module counts failures up to the next list
@@ -183,9 +187,12 @@
         self.follow(step);
     }
 
-    /// The call on a connection to discovery timed out.
+    /// The call on a connection to discovery was not answered in time.
     pub(in crate::net) fn discovery_timed_out(&mut self, key: ConnectionKey) {
-        self.end_discovery(key, DiscoveryError::TimedOut);
+        match self.discovery.leave_open(&mut self.runtime, key) {
+            Some(overdue) => self.call_failed(&overdue),
+            None => self.end_discovery(key, DiscoveryError::TimedOut),
+        }
     }
 
     /// Closes a connection that can't be used any more.
--- a/tests/lost_answers.rs
+++ b/tests/lost_answers.rs
@@ -3,8 +3,7 @@
 
 mod stand_ins;
 
-use stand_ins::{discovery, list, Client, Cut, LeafServer, Program, Reply, Setup};
-use std::net::SocketAddr;
+use stand_ins::{ask_for, discovery, list, Cut, LeafServer, Program, Reply, Setup};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,7 +13,6 @@
 const QUIET: Duration = Duration::from_millis(1500);
 /// How long clients ask after the drain; a discovery that is up is heard of again within it.
 const OBSERVED: Duration = Duration::from_secs(7);
-const QUERY_INTERVAL: Duration = Duration::from_millis(10);
 /// An outage before the drain.
 const OUTAGE: Duration = Duration::from_secs(4);
 /// Longest wait of a watch.
@@ -182,28 +180,6 @@
     }
 }
 
-#[derive(Default)]
-struct Served {
-    asked: u32,
-    served: u32,
-    /// Whether the last one was.
-    served_last: bool,
-}
-
-/// A client asks one thing after the other.
-fn ask_for(address: SocketAddr, time: Duration) -> Served {
-    let mut client = Client::connect(address);
-    let until = Instant::now() + time;
-    let mut served = Served::default();
-    while Instant::now() < until {
-        served.served_last = client.query() == 200;
-        served.asked += 1;
-        served.served += u32::from(served.served_last);
-        std::thread::sleep(QUERY_INTERVAL);
-    }
-    served
-}
-
 /// Plays them side by side; each that went wrong, in words.
 fn failures(cases: &[Case]) -> Vec<String> {
     let start = |case: &Case| {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -16,6 +16,8 @@
 /// Draws the times that are random: with this one a watch among 1,000 mixers is put off for some seconds only.
 const SEED: u32 = 7;
 const SETTINGS: &str = include_str!("../exchanges/settings.json");
+/// How long a client that asks one thing after the other rests between two.
+const QUERY_INTERVAL: Duration = Duration::from_millis(10);
 /// The line of a list for a server that nobody listens for.
 pub const UNREACHABLE_SERVER: &str =
     r#"{"id":"s0","host_port":"127.0.0.1:1","cell":0,"phase":"Ready","up_since_ms":0}"#;
@@ -390,3 +392,26 @@
         status
     }
 }
+
+/// What became of the requests of a client that asks one thing after the other.
+#[derive(Default)]
+pub struct Served {
+    pub asked: u32,
+    pub served: u32,
+    /// Whether the last one was.
+    pub served_last: bool,
+}
+
+/// A client asks one thing after the other.
+pub fn ask_for(address: SocketAddr, time: Duration) -> Served {
+    let mut client = Client::connect(address);
+    let until = Instant::now() + time;
+    let mut served = Served::default();
+    while Instant::now() < until {
+        served.served_last = client.query() == 200;
+        served.asked += 1;
+        served.served += u32::from(served.served_last);
+        std::thread::sleep(QUERY_INTERVAL);
+    }
+    served
+}
