Look at the sockets again after a standstill before acting by the clock

Cause: a turn handled its deadlines by a fresh clock, but by sockets looked at before the stop: a stop between the poll and the deadlines hides all closes that came meanwhile.

Change: after a wait of over 0.05 s the loop polls once more, without a wait; a turn whose events took longer than that leaves its deadlines to the next turn, never twice in a row. The log says when the process stood still.

--- a/src/net/client/routing.rs
+++ b/src/net/client/routing.rs
@@ -11,14 +11,13 @@
 use crate::net::client::pages::Page;
 use crate::net::client::platform;
 use crate::net::client::writing::log_unanswered;
-use crate::net::event_loop::{Mixer, ACCEPT_AGAIN_S};
+use crate::net::event_loop::{Mixer, TurnEvents, ACCEPT_AGAIN_S};
 use crate::net::http::{self, Message, Start};
 use crate::net::timer_queue::Deadline;
 use crate::net::tokens::{connection_key, token};
 use crate::net::ConnectionKey;
 use crate::requests::coordinator::{FinalAnswer, Protocol, QueryRequest};
 use mio::net::TcpStream;
-use mio::Events;
 use std::io;
 
 impl Mixer {
@@ -220,7 +219,7 @@
 
     /// Handles the clients that have closed their sides before anything else is done that could be for them: whoever has
     /// gone gets no further attempt, also where one is found to have failed in the same turn.
-    pub(in crate::net) fn handle_client_disconnects(&mut self, events: &Events) {
+    pub(in crate::net) fn handle_client_disconnects(&mut self, events: &TurnEvents) {
         let is_end = |event: &&mio::event::Event| event.is_read_closed() || event.is_error();
         for event in events.iter().filter(is_end) {
             let key = connection_key(event.token());
--- a/src/net/discovery/routing.rs
+++ b/src/net/discovery/routing.rs
@@ -10,7 +10,7 @@
 use crate::net::discovery::calls::{PlannedCall, Step};
 use crate::net::discovery::connection::{Call, DiscoveryError, Role};
 use crate::net::discovery::lease::HELD_UP_S;
-use crate::net::event_loop::Mixer;
+use crate::net::event_loop::{Mixer, TurnEvents};
 use crate::net::http::Message;
 use crate::net::lifecycle::Phase;
 use crate::net::reload::{self, RereadOutcome};
@@ -18,7 +18,7 @@
 use crate::net::ConnectionKey;
 use miniserde::json::Value;
 use mio::net::TcpStream;
-use mio::{Events, Token};
+use mio::Token;
 use std::net::SocketAddr;
 
 /// A connection to a replica to which no new requests may be sent.
@@ -97,7 +97,7 @@
 impl Mixer {
     /// Reads from discovery before anything that clients bring: a change counts as notified from the moment it was written, also
     /// if the loop was held up and a request was received first. Gives whose events have been handled.
-    pub(in crate::net) fn receive_from_discovery(&mut self, events: &Events) -> Vec<Token> {
+    pub(in crate::net) fn receive_from_discovery(&mut self, events: &TurnEvents) -> Vec<Token> {
         let was_held_up = self.runtime.now > self.runtime.previous_turn_at + HELD_UP_S;
         let mut handled = Vec::new();
         for key in self.discovery.connections() {
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -35,6 +35,29 @@
 /// Of the time after which a replica closes an idle connection, the share after which we do.
 pub(super) const IDLE_SHARE: f64 = 0.8;
 
+/// The events of one turn.
+pub(super) struct TurnEvents {
+    /// Of the poll that waited.
+    waited_for: Events,
+    /// Of a second poll right after it. The process may have been stopped after the first one, and what came meanwhile forbids
+    /// to act for clients that have gone.
+    latest: Events,
+}
+
+impl TurnEvents {
+    fn with_capacity(capacity: usize) -> TurnEvents {
+        TurnEvents {
+            waited_for: Events::with_capacity(capacity),
+            latest: Events::with_capacity(capacity),
+        }
+    }
+
+    /// All events, those of the first poll first. A socket may be among both.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Event> {
+        self.waited_for.iter().chain(self.latest.iter())
+    }
+}
+
 /// How the process is told to end, or to read its configuration again.
 pub struct Signals {
     /// Becomes readable when the process is to end.
@@ -85,7 +108,7 @@
 
     /// Runs until the process has been told to end and every accepted request has its answer. An error is one of the poll.
     pub fn run(&mut self) -> Result<(), NetError> {
-        let mut events = Events::with_capacity(MAX_EVENTS_PER_TURN);
+        let mut events = TurnEvents::with_capacity(MAX_EVENTS_PER_TURN);
         let mut standstill = StandstillDetector::default();
         while self.lifecycle.phase() != Phase::Stopped {
             if self.await_events(&mut events, &mut standstill)? {
@@ -98,37 +121,45 @@
     /// Waits for events until the next deadline. Returns false where a signal has ended the wait.
     fn await_events(
         &mut self,
-        events: &mut Events,
+        events: &mut TurnEvents,
         standstill: &mut StandstillDetector,
     ) -> Result<bool, NetError> {
         let runtime = &mut self.runtime;
-        let timeout = if self.replicas.has_held_back() {
+        let polled_at = runtime.clock.now();
+        let timeout = if self.replicas.has_held_back() || standstill.has_postponed_deadlines() {
             Some(Duration::ZERO)
         } else {
-            runtime.timers.wait(runtime.clock.now())
+            runtime.timers.wait(polled_at)
         };
         if let Some(timeout) = timeout {
-            standstill.expect_wake_at(runtime.clock.now() + timeout.as_secs_f64());
+            standstill.expect_wake_at(polled_at + timeout.as_secs_f64());
+        }
+        events.latest.clear();
+        if !poll(runtime, &mut events.waited_for, timeout)? {
+            return Ok(false);
         }
-        match runtime.poll.poll(events, timeout) {
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(false),
-            Err(error) => Err(error.into()),
-            Ok(()) => Ok(true),
+        if runtime.clock.now() > polled_at + lease::HELD_UP_S {
+            poll(runtime, &mut events.latest, Some(Duration::ZERO))?;
         }
+        Ok(true)
     }
 
     /// One turn: handles the events, then the deadlines that have come.
-    fn turn(&mut self, events: &Events, standstill: &mut StandstillDetector) {
+    fn turn(&mut self, events: &TurnEvents, standstill: &mut StandstillDetector) {
         let woke_at = self.begin_turn(standstill);
         // Operators come first: what clients bring must not keep their replies waiting.
         self.handle_admin_events(events);
         let handled = self.receive_from_discovery(events);
         if let Some(since) = standstill.take_beginning() {
+            let stood_still_s = self.runtime.now - since;
+            self.runtime.log(&format!(
+                "loop: the process stood still for up to {stood_still_s:.3} s"
+            ));
             self.confirm_after_standstill(since);
         }
         self.handle_client_disconnects(events);
         self.flush_held_back();
-        for event in events {
+        for event in events.iter() {
             if !handled.contains(&event.token()) {
                 self.handle_event(event);
             }
@@ -137,6 +168,9 @@
         self.runtime.now = self.runtime.clock.now();
         let turn_s = self.runtime.now - woke_at;
         standstill.turn_took(turn_s, self.runtime.turn_began_at);
+        if standstill.postpone_deadlines(turn_s) {
+            return;
+        }
         while let Some(deadline) = self.runtime.timers.next(self.runtime.now) {
             self.handle_deadline(deadline);
             self.settle();
@@ -158,8 +192,8 @@
         runtime.now
     }
 
-    fn handle_admin_events(&mut self, events: &Events) {
-        for event in events {
+    fn handle_admin_events(&mut self, events: &TurnEvents) {
+        for event in events.iter() {
             match event.token() {
                 ADMIN => self.admin_accept(),
                 token => self.admin_event(connection_key(token)),
@@ -247,6 +281,19 @@
     }
 }
 
+/// Polls once. Returns false where a signal has ended the wait.
+fn poll(
+    runtime: &mut Runtime,
+    events: &mut Events,
+    timeout: Option<Duration>,
+) -> Result<bool, NetError> {
+    match runtime.poll.poll(events, timeout) {
+        Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(false),
+        Err(error) => Err(error.into()),
+        Ok(()) => Ok(true),
+    }
+}
+
 /// Leads the events and deadlines of connections to the subsystem that owns their kind.
 impl Mixer {
     fn connection_event(&mut self, key: ConnectionKey, gone: bool, read_closed: bool) {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -255,6 +255,11 @@
 impl LeafServer {
     /// Starts it.
     pub fn start() -> LeafServer {
+        LeafServer::start_slow(Duration::ZERO)
+    }
+
+    /// Starts one that takes so long for each call of a connection.
+    pub fn start_slow(work: Duration) -> LeafServer {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let calls = Arc::new(Mutex::new(Vec::new()));
@@ -262,7 +267,7 @@
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 let calls = shared.clone();
-                std::thread::spawn(move || serve_parts(stream, &calls));
+                std::thread::spawn(move || serve_parts(stream, &calls, work));
             }
         });
         LeafServer { address, calls }
@@ -283,7 +288,7 @@
 }
 
 /// Answers calls of one part each until the connection ends.
-fn serve_parts(mut stream: TcpStream, calls: &Mutex<Vec<Instant>>) {
+fn serve_parts(mut stream: TcpStream, calls: &Mutex<Vec<Instant>>, work: Duration) {
     let _ = stream.set_nodelay(true);
     let mut length = [0; 4];
     while stream.read_exact(&mut length).is_ok() {
@@ -292,6 +297,7 @@
             continue;
         }
         calls.lock().expect("a lock").push(Instant::now());
+        std::thread::sleep(work);
         let text = String::from_utf8_lossy(&frame[1..]).into_owned();
         let id = text.split(' ').next().unwrap_or_default();
         let rest = format!("a{id} served 1 -\nvalue");
@@ -307,6 +313,7 @@
 pub struct Client {
     stream: BufReader<TcpStream>,
     asked: u32,
+    timeout_ms: u32,
 }
 
 impl Client {
@@ -318,9 +325,33 @@
         Client {
             stream: BufReader::new(stream),
             asked: 0,
+            timeout_ms: 5000,
         }
     }
 
+    /// Connects; it tells that timeout, and waits so long for each answer.
+    pub fn connect_hurried(
+        address: SocketAddr,
+        timeout_ms: u32,
+        leaves_after: Duration,
+    ) -> std::io::Result<Client> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(leaves_after))?;
+        Ok(Client {
+            stream: BufReader::new(stream),
+            asked: 0,
+            timeout_ms,
+        })
+    }
+
+    /// The text of one of the pages.
+    pub fn page(&mut self, path: &str) -> String {
+        self.send(&format!("GET {path} HTTP/1.1\r\nHost: s\r\n\r\n"));
+        let (_, body) = self.try_answer().expect("an answer");
+        String::from_utf8(body).expect("text")
+    }
+
     /// Whether the program says that it is ready.
     pub fn is_ready(&mut self) -> bool {
         self.exchange("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n") == 200
@@ -339,8 +370,9 @@
         let id = self.asked;
         let name = self.name();
         self.send(&format!(
-            "POST /slot HTTP/1.1\r\nHost: s\r\nX-Request-ID: {name}-{id}\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 5000\r\n\
+            "POST /slot HTTP/1.1\r\nHost: s\r\nX-Request-ID: {name}-{id}\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: {}\r\n\
              Content-Length: {}\r\n\r\n{body}",
+            self.timeout_ms,
             body.len()
         ))
     }
@@ -368,8 +400,15 @@
 
     /// The next answer's status.
     pub fn answer(&mut self) -> u16 {
+        self.try_answer().expect("an answer").0
+    }
+
+    /// The next answer's status and body.
+    pub fn try_answer(&mut self) -> std::io::Result<(u16, Vec<u8>)> {
         let mut line = String::new();
-        self.stream.read_line(&mut line).expect("an answer");
+        if self.stream.read_line(&mut line)? == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
         let status = line
             .split(' ')
             .nth(1)
@@ -378,7 +417,7 @@
         let mut length = 0;
         loop {
             line.clear();
-            self.stream.read_line(&mut line).expect("a header");
+            self.stream.read_line(&mut line)?;
             let Some((name, value)) = line.trim_end().split_once(':') else {
                 break;
             };
@@ -386,10 +425,9 @@
                 length = value.trim().parse().expect("a length");
             }
         }
-        self.stream
-            .read_exact(&mut vec![0; length])
-            .expect("a body");
-        status
+        let mut body = vec![0; length];
+        self.stream.read_exact(&mut body)?;
+        Ok((status, body))
     }
 }
 
