Verify a written call by the clock on both sides of its write

Seen: a mixer that was stopped right after a write counted a violation of a call that had left in time, because the clock was read after the write only.

Change: the invariants before a call's first byte go by the clock just then, in place of the turn's, which is stricter. What was written is judged by that reading and the one after: late on both is a violation as before, across the limit is undecided, counted (svc_undecided_total, once there is one) and logged. Nothing that is late before its write passes.

The test of verify_call keeps its cases; three new ones have readings that differ.

--- a/src/net/admin/metrics_text.rs
+++ b/src/net/admin/metrics_text.rs
@@ -114,6 +114,10 @@
         for rule in Invariant::ALL {
             let label = rule.label();
             line("violations", "rule", label, invariants.violations(rule));
+            let undecided = invariants.undecided(rule);
+            if undecided > 0 {
+                line("undecided", "rule", label, undecided);
+            }
             line("guard_stops", "rule", label, invariants.stopped(rule));
         }
         line("discovery_answers", "end", "lost", self.missing_answers);
--- a/src/net/replica/connection.rs
+++ b/src/net/replica/connection.rs
@@ -10,7 +10,7 @@
 use crate::net::http::Reader;
 use crate::net::replica::error::ReplicaError;
 use crate::net::replica::frames::{self, EncodedCall};
-use crate::net::replica::send_queue::{QueuedFrame, SendQueue, WriteStep};
+use crate::net::replica::send_queue::{BegunCall, QueuedFrame, SendQueue, WriteStep};
 use crate::net::socket::came_up;
 use crate::requests::coordinator::{AttemptKey, CallPart};
 use crate::requests::invariants::CallTimes;
@@ -135,7 +135,7 @@
     /// Attempts written completely and not counted yet, by the front of their requests.
     written: [u64; 2],
     /// Calls that have begun to leave and were not verified yet.
-    begun_calls: Vec<CallTimes>,
+    begun_calls: Vec<BegunCall>,
     pub(super) setup: ReplicaConnectionSetup,
     queue: SendQueue,
     pub(super) parts: Vec<PartInFlight>,
@@ -212,7 +212,7 @@
     }
 
     /// Calls that have begun to leave since this was last called.
-    pub fn take_begun_calls(&mut self) -> Vec<CallTimes> {
+    pub fn take_begun_calls(&mut self) -> Vec<BegunCall> {
         std::mem::take(&mut self.begun_calls)
     }
 
@@ -444,11 +444,11 @@
         self.queue.partly_sent_attempts()
     }
 
-    /// Writes what the socket takes. `may_begin` is asked before the first byte of each call leaves; a call that may not
-    /// is withdrawn, and its attempts are added to `withdrawn`.
+    /// Writes what the socket takes. `may_begin` is asked before the first byte of each call leaves, and gives the time if the
+    /// call may; one that may not is withdrawn, and its attempts are added to `withdrawn`.
     pub fn flush(
         &mut self,
-        mut may_begin: impl FnMut(&CallTimes) -> bool,
+        mut may_begin: impl FnMut(&CallTimes) -> Option<f64>,
         withdrawn: &mut Vec<AttemptKey>,
     ) -> io::Result<()> {
         while self.is_up {
--- a/src/net/replica/send_queue.rs
+++ b/src/net/replica/send_queue.rs
@@ -95,6 +95,15 @@
     }
 }
 
+/// A call whose first bytes have left.
+#[derive(Clone, Copy, Debug)]
+pub struct BegunCall {
+    /// Its limits in time.
+    pub times: CallTimes,
+    /// It left at this time at the earliest (seconds).
+    pub not_before: f64,
+}
+
 /// What one write did.
 pub(super) enum WriteStep {
     /// Nothing waits.
@@ -108,7 +117,7 @@
     /// Bytes of the first frame have left.
     Wrote {
         /// The call, if these are its first bytes.
-        begun: Option<CallTimes>,
+        begun: Option<BegunCall>,
         /// The frame, if its last byte has left.
         complete: Option<QueuedFrame>,
     },
@@ -272,18 +281,22 @@
             .collect()
     }
 
-    /// Writes once. `may_begin` is asked before the first byte of a call leaves.
+    /// Writes once. `may_begin` is asked before the first byte of a call leaves; it gives the time if the call may.
     pub(super) fn write_once(
         &mut self,
         socket: &mut impl Write,
-        may_begin: &mut impl FnMut(&CallTimes) -> bool,
+        may_begin: &mut impl FnMut(&CallTimes) -> Option<f64>,
     ) -> io::Result<WriteStep> {
         let Some(frame) = self.frames.front_mut() else {
             return Ok(WriteStep::Empty);
         };
-        let begun = frame.is_unsent_call().then(|| frame.times());
-        if begun.as_ref().is_some_and(|call| !may_begin(call)) {
-            return Ok(WriteStep::Withdrawn(self.withdraw_first()));
+        let mut begun = None;
+        if frame.is_unsent_call() {
+            let times = frame.times();
+            let Some(not_before) = may_begin(&times) else {
+                return Ok(WriteStep::Withdrawn(self.withdraw_first()));
+            };
+            begun = Some(BegunCall { times, not_before });
         }
         match socket.write(&frame.bytes[self.sent_bytes..]) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
--- a/src/net/replica/send_queue/tests.rs
+++ b/src/net/replica/send_queue/tests.rs
@@ -74,7 +74,10 @@
 fn write_all(queue: &mut SendQueue, socket: &mut Socket) -> usize {
     let mut complete_frames = 0;
     loop {
-        match queue.write_once(socket, &mut |_| true).expect("no error") {
+        match queue
+            .write_once(socket, &mut |_| Some(0.0))
+            .expect("no error")
+        {
             WriteStep::Empty | WriteStep::Blocked => return complete_frames,
             WriteStep::Wrote { complete, .. } => complete_frames += usize::from(complete.is_some()),
             WriteStep::Interrupted | WriteStep::Withdrawn(_) => panic!("neither happens here"),
@@ -145,7 +148,7 @@
     let mut queue = SendQueue::default();
     push(&mut queue, &[part(attempt, "q1", f64::INFINITY)]);
     let mut socket = Socket::with_capacity(1_000);
-    let step = queue.write_once(&mut socket, &mut |_| false);
+    let step = queue.write_once(&mut socket, &mut |_| None);
     assert!(matches!(step, Ok(WriteStep::Withdrawn(attempts)) if attempts == [attempt]));
     assert!(socket.taken.is_empty() && queue.is_empty());
     assert_eq!(queue.waiting_bytes(), 0);
--- a/src/net/replica/sending.rs
+++ b/src/net/replica/sending.rs
@@ -8,11 +8,12 @@
 use crate::net::connection_table::Connection;
 use crate::net::replica::error::ReplicaError;
 use crate::net::replica::pool::{max_silence_s, ReplicaConnections};
+use crate::net::replica::send_queue::BegunCall;
 use crate::net::runtime::Runtime;
 use crate::net::tokens::PROTOCOLS;
 use crate::net::ConnectionKey;
 use crate::requests::coordinator::AttemptKey;
-use crate::requests::invariants::{CallTimes, Destination, Invariant};
+use crate::requests::invariants::{CallTimes, Destination, Invariant, Verification, WriteInterval};
 use std::io;
 
 /// What a write has done.
@@ -192,12 +193,15 @@
         };
     }
     let invariants = runtime.coordinator.invariants_mut();
+    let clock = &runtime.clock;
     let may_begin = |call: &CallTimes| {
+        // The process may have been stopped since the turn began, and may yet be before the write.
+        let just_before = clock.now();
         // Both are checked in any case: each counts what it stops.
-        let destination = invariants.check_destination(now, to);
-        let verdict = destination.and(invariants.check_call(now, call));
+        let destination = invariants.check_destination(just_before, to);
+        let verdict = destination.and(invariants.check_call(just_before, call));
         stopped_by = verdict.err().or(stopped_by);
-        verdict.is_ok()
+        verdict.is_ok().then_some(just_before)
     };
     let result: io::Result<()> = connection.flush(may_begin, withdrawn);
     Flushed {
@@ -220,20 +224,29 @@
 }
 
 /// Verifies calls that have begun to leave, by the time now that they are written.
-fn verify_calls(runtime: &mut Runtime, to: &Destination, calls: &[CallTimes]) {
+fn verify_calls(runtime: &mut Runtime, to: &Destination, calls: &[BegunCall]) {
     if calls.is_empty() {
         return;
     }
-    let written_at = runtime.clock.now();
+    let not_after = runtime.clock.now();
     for call in calls {
+        let written = WriteInterval {
+            not_before: call.not_before,
+            not_after,
+        };
         let invariants = runtime.coordinator.invariants_mut();
-        if let Err(rule) = invariants.verify_call(written_at, to, call) {
-            let held_up_s = written_at - runtime.now;
-            let rule = rule.label();
-            runtime.log(&format!(
-                "invariant violated: {rule}: a call left, {to:?}, {call:?}, held up for {held_up_s:.3} s"
-            ));
-        }
+        let (finding, rule) = match invariants.verify_call(written, to, &call.times) {
+            Verification::Kept => continue,
+            Verification::Violated(rule) => ("violated", rule),
+            Verification::Undecided(rule) => ("undecided", rule),
+        };
+        let held_up_s = call.not_before - runtime.now;
+        let write_s = not_after - call.not_before;
+        let rule = rule.label();
+        runtime.log(&format!(
+            "invariant {finding}: {rule}: a call left, {to:?}, {:?}, held up for {held_up_s:.3} s, written within {write_s:.3} s",
+            call.times
+        ));
     }
 }
 
--- a/src/requests/invariants.rs
+++ b/src/requests/invariants.rs
@@ -4,7 +4,7 @@
 //! on, to a server that is draining or gone, or for a client that left; nothing is repeated outside its window; no connection
 //! is closed while a request that was read from it has no answer; no client is served before there is a list. A `check_`
 //! method is called before an act, and counts the act as stopped where it is forbidden; a `verify_` method is called after
-//! an act, and counts a violation. This file owns these rules and both counts. It must never act, never read a clock, and
+//! an act, and counts a violation, or that the clock readings do not decide whether it was one. This file owns these rules and both counts. It must never act, never read a clock, and
 //! never know a socket.
 
 use crate::decisions::api::Effect;
@@ -88,6 +88,26 @@
     pub client_deadline: f64,
 }
 
+/// When a call began to leave: between two readings of the clock (seconds). The process may have been stopped between them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WriteInterval {
+    /// Just before the write.
+    pub not_before: f64,
+    /// After the write.
+    pub not_after: f64,
+}
+
+/// What was found of an act after it was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verification {
+    /// It kept every rule.
+    Kept,
+    /// It violated that rule.
+    Violated(Invariant),
+    /// It violated that rule if it came late between the two readings of the clock, and kept it if it came early.
+    Undecided(Invariant),
+}
+
 /// The facts about a further attempt of a part.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Repeat {
@@ -108,6 +128,7 @@
 pub struct Invariants {
     stopped: [u64; Invariant::ALL.len()],
     violations: [u64; Invariant::ALL.len()],
+    undecided: [u64; Invariant::ALL.len()],
 }
 
 impl Invariants {
@@ -121,6 +142,11 @@
         self.violations[rule as usize]
     }
 
+    /// How often the readings of the clock did not decide whether the rule was violated.
+    pub fn undecided(&self, rule: Invariant) -> u64 {
+        self.undecided[rule as usize]
+    }
+
     /// Counts an act that the rule forbids and that was stopped.
     pub fn stop(&mut self, rule: Invariant) {
         self.stopped[rule as usize] += 1;
@@ -159,28 +185,28 @@
         self.verdict(forbidden)
     }
 
-    /// Verifies a call that has begun to leave, at `written_at` at the latest; the error is the rule that it violated.
+    /// Verifies a call that has begun to leave within that interval. All limits are upper ones, so that a call that was late
+    /// before the write was late in any case.
     pub fn verify_call(
         &mut self,
-        written_at: f64,
+        written: WriteInterval,
         to: &Destination,
         call: &CallTimes,
-    ) -> Result<(), Invariant> {
-        let broken = match to.server {
-            _ if written_at >= to.list_until + to.drain_grace_s + SLACK_S => {
-                Some(Invariant::StaleList)
-            }
-            ServerState::Gone => Some(Invariant::Drain),
-            ServerState::Draining { since } if written_at >= since + to.drain_grace_s + SLACK_S => {
-                Some(Invariant::Drain)
-            }
-            _ if written_at > call.send_by + SLACK_S => Some(Invariant::Repeat),
-            _ if call.sent_beyond_client_s > MAX_SENT_TIMEOUT_EXCESS_S => {
-                Some(Invariant::SentTimeout)
-            }
-            ServerState::Ready | ServerState::Draining { .. } => None,
+    ) -> Verification {
+        let verification = match (
+            rule_broken_at(written.not_before, to, call),
+            rule_broken_at(written.not_after, to, call),
+        ) {
+            (Some(rule), _) => Verification::Violated(rule),
+            (None, Some(rule)) => Verification::Undecided(rule),
+            (None, None) => Verification::Kept,
         };
-        self.verification(broken)
+        match verification {
+            Verification::Kept => {}
+            Verification::Violated(rule) => self.violated(rule),
+            Verification::Undecided(rule) => self.undecided[rule as usize] += 1,
+        }
+        verification
     }
 
     /// Checks that a part may be sent once more now.
@@ -226,5 +252,19 @@
     }
 }
 
+/// The rule that a call violates if it begins to leave at that time.
+fn rule_broken_at(written_at: f64, to: &Destination, call: &CallTimes) -> Option<Invariant> {
+    match to.server {
+        _ if written_at >= to.list_until + to.drain_grace_s + SLACK_S => Some(Invariant::StaleList),
+        ServerState::Gone => Some(Invariant::Drain),
+        ServerState::Draining { since } if written_at >= since + to.drain_grace_s + SLACK_S => {
+            Some(Invariant::Drain)
+        }
+        _ if written_at > call.send_by + SLACK_S => Some(Invariant::Repeat),
+        _ if call.sent_beyond_client_s > MAX_SENT_TIMEOUT_EXCESS_S => Some(Invariant::SentTimeout),
+        ServerState::Ready | ServerState::Draining { .. } => None,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/requests/invariants/tests.rs
+++ b/src/requests/invariants/tests.rs
@@ -75,7 +75,16 @@
     #[case] expected: Result<(), Invariant>,
 ) {
     let mut invariants = Invariants::default();
-    assert_eq!(invariants.verify_call(written_at, &to, &call), expected);
+    let written = WriteInterval {
+        not_before: written_at,
+        not_after: written_at,
+    };
+    let found = match invariants.verify_call(written, &to, &call) {
+        Verification::Kept => Ok(()),
+        Verification::Violated(rule) => Err(rule),
+        Verification::Undecided(rule) => panic!("undecided about {rule:?} at one time"),
+    };
+    assert_eq!(found, expected);
     assert_eq!(
         Invariant::ALL
             .map(|rule| invariants.violations(rule))
@@ -85,6 +94,36 @@
     );
 }
 
+/// Soak seed 3: a process that was stopped between a write and the reading of the clock counted a violation of a call that
+/// had left in time.
+#[rstest]
+#[case::in_time(0.50, 0.54, Verification::Kept)]
+#[case::stopped_across_the_limit(0.50, 2.76, Verification::Undecided(Invariant::Drain))]
+#[case::stopped_before_the_write(0.56, 0.57, Verification::Violated(Invariant::Drain))]
+fn a_written_call_is_verified_against_the_clock_on_both_sides_of_the_write(
+    #[case] not_before_s: f64,
+    #[case] not_after_s: f64,
+    #[case] expected: Verification,
+) {
+    let mut invariants = Invariants::default();
+    let written = WriteInterval {
+        not_before: NOW + not_before_s,
+        not_after: NOW + not_after_s,
+    };
+    let found = invariants.verify_call(written, &draining(NOW), &call());
+    assert_eq!(found, expected);
+    let counts = (
+        invariants.violations(Invariant::Drain),
+        invariants.undecided(Invariant::Drain),
+    );
+    let expected_counts = match expected {
+        Verification::Kept => (0, 0),
+        Verification::Violated(_) => (1, 0),
+        Verification::Undecided(_) => (0, 1),
+    };
+    assert_eq!(counts, expected_counts);
+}
+
 #[rstest]
 #[case::idempotent(Effect::Idempotent, Some(NOW - 50.0), 0, true, true)]
 #[case::keyed_in_its_window(Effect::IdempotentWithKey, Some(NOW - 2.0), 0, true, true)]
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -77,7 +77,7 @@
         &[call_part(attempt, &format!("q{now}"), "t", f64::INFINITY)],
         now,
     );
-    leaf.flush(|_| true, &mut Vec::new())
+    leaf.flush(|_| Some(0.0), &mut Vec::new())
         .expect("room in the socket");
     attempt
 }
@@ -97,7 +97,7 @@
     assert!(leaf.withdraw_late(1.1).is_empty(), "it may still leave");
     assert_eq!(leaf.withdraw_late(1.2), [late]);
     leaf.come_up(1.2);
-    leaf.flush(|_| true, &mut Vec::new())
+    leaf.flush(|_| Some(0.0), &mut Vec::new())
         .expect("room in the socket");
     assert!(leaf.withdraw_late(9.0).is_empty(), "what has left has left");
     assert!(!leaf.is_unused() && !leaf.cancel(sound, 1.25, MAX_SILENCE_S));
@@ -240,7 +240,7 @@
             assert!(is_cancelled || leaf.withdraw_unsent(attempts[number]));
         }
         leaf.come_up(1.0);
-        leaf.flush(|_| true, &mut Vec::new())
+        leaf.flush(|_| Some(0.0), &mut Vec::new())
             .expect("room in the socket");
         let again = leaf.withdraw_unsent(attempts[1]);
         assert!(!again, "what has left has left");
@@ -268,7 +268,7 @@
     let withdrawn = send_part(&mut leaf, &mut keys, 1.25);
     assert!(leaf.withdraw_unsent(withdrawn));
     leaf.come_up(1.75);
-    leaf.flush(|_| true, &mut Vec::new())
+    leaf.flush(|_| Some(0.0), &mut Vec::new())
         .expect("room in the socket");
     assert!(
         leaf.has_nothing_to_send() && !leaf.withdraw_unsent(attempt),
@@ -373,7 +373,7 @@
     leaf.queue_call(&[call_part(allowed, "allowed", "t", f64::INFINITY)], 1.0);
     assert_eq!(leaf.unsent_attempts(), [forbidden, allowed]);
     let mut withdrawn = Vec::new();
-    leaf.flush(|call| call.send_by > 5.0, &mut withdrawn)
+    leaf.flush(|call| (call.send_by > 5.0).then_some(0.0), &mut withdrawn)
         .expect("room in the socket");
     assert_eq!(
         (withdrawn, leaf.take_begun_calls().len()),
@@ -399,7 +399,7 @@
     while leaf.has_nothing_to_send() {
         let attempt = keys.insert(());
         leaf.queue_call(&[call_part(attempt, "large", &text, f64::INFINITY)], 1.0);
-        leaf.flush(|_| true, &mut Vec::new()).expect("no end");
+        leaf.flush(|_| Some(0.0), &mut Vec::new()).expect("no end");
         last = vec![attempt];
         assert!(keys.len() < 1_000, "the socket takes all");
     }
@@ -410,7 +410,7 @@
     leaf.refresh_timeouts(1.5);
     let reader = std::thread::spawn(move || received(&listener));
     while !leaf.has_nothing_to_send() {
-        leaf.flush(|_| true, &mut Vec::new())
+        leaf.flush(|_| Some(0.0), &mut Vec::new())
             .expect("room in the socket, in the end");
     }
     drop(leaf);
