--- a/crates/wharfhub-testbed/src/experiments/soak.rs
+++ b/crates/wharfhub-testbed/src/experiments/soak.rs
@@ -5,6 +5,8 @@
 use crate::soak::plan::Plan;
 use crate::soak::run::{self, Outcome};
 use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
 
 /// Soaks of a full run, one after the other.
 const SEEDS: u64 = 20;
@@ -16,6 +18,10 @@
 const MIN_SERVED_AT_THE_END: f64 = 0.9;
 /// Broken rules that are printed of each soak.
 const MAX_PRINTED: usize = 8;
+/// Lines of the mixers' logs that are printed of a soak with broken rules.
+const MAX_PRINTED_LOG_LINES: usize = 40;
+/// What such a line contains: what a mixer found of its own acts, and when it was stopped.
+const PRINTED_LOG_TEXTS: [&str; 3] = ["invariant violated", "invariant undecided", "stood still"];
 
 fn row(plan: &Plan, outcome: &Outcome) -> Vec<String> {
     let counts = outcome.requests;
@@ -56,6 +62,26 @@
     }
 }
 
+/// Prints what the mixers found of their own acts: the folder with their logs does not outlive a run in CI.
+fn print_log_lines(folder: &Path) -> io::Result<()> {
+    let mut lines = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        let name = path.file_name().unwrap_or_default().to_string_lossy();
+        let text = String::from_utf8_lossy(&std::fs::read(&path)?).into_owned();
+        let is_printed = |line: &&str| PRINTED_LOG_TEXTS.iter().any(|text| line.contains(text));
+        let printed = text.lines().filter(is_printed);
+        lines.extend(printed.map(|line| format!("  {name}: {line}")));
+    }
+    for line in lines.iter().take(MAX_PRINTED_LOG_LINES) {
+        println!("{line}");
+    }
+    if lines.len() > MAX_PRINTED_LOG_LINES {
+        println!("  and {} lines more", lines.len() - MAX_PRINTED_LOG_LINES);
+    }
+    Ok(())
+}
+
 /// Runs the experiment.
 pub fn run(options: &Options) -> Verdict {
     let seeds = match (options.quick, options.part.as_deref()) {
@@ -90,6 +116,7 @@
         table.row(row(&plan, &outcome));
         if !outcome.violations.is_empty() {
             print_violations(&plan, &outcome);
+            print_log_lines(&folder)?;
             short.push(format!(
                 "seed {seed}: {} rules broken",
                 outcome.violations.len()
