--- a/tests/overdue_calls.rs
+++ b/tests/overdue_calls.rs
@@ -4,7 +4,11 @@
 mod stand_ins;
 
 use rstest::rstest;
-use stand_ins::{ask_for, discovery, list, Asked, LeafServer, Program, Reply, Setup};
+use stand_ins::{
+    ask_for, discovery, discovery_until, list, Asked, LeafServer, Program, Reply, Setup,
+};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -138,6 +142,24 @@
     }
 }
 
+/// A program that serves, and where.
+fn start(
+    mixers: u32,
+    mode: &'static str,
+    discovery: SocketAddr,
+    known: String,
+) -> (Program, SocketAddr) {
+    let program = Program::start(&Setup {
+        mixers,
+        mode,
+        discovery,
+        known: Some(known),
+    });
+    let clients_at = program.await_address();
+    program.await_log("ready: serving");
+    (program, clients_at)
+}
+
 /// A mixer whose client asks all the time; gives how late after the note calls came to the server that drains.
 fn late_calls(
     mixers: u32,
@@ -152,14 +174,7 @@
     let registry = Registry::new(others, written_after);
     let (shared, known) = (registry.clone(), before.clone());
     let address = discovery(move |asked| shared.reply(asked, &before, &after));
-    let program = Program::start(&Setup {
-        mixers,
-        mode,
-        discovery: address,
-        known: Some(known),
-    });
-    let clients_at = program.await_address();
-    program.await_log("ready: serving");
+    let (_program, clients_at) = start(mixers, mode, address, known);
     let quiet = ask_for(clients_at, QUIET);
     assert_eq!(quiet.served, quiet.asked, "nothing is wrong yet");
     registry.go_away();
@@ -245,14 +260,7 @@
             }
         }
     });
-    let program = Program::start(&Setup {
-        mixers,
-        mode: "subscribe",
-        discovery: address,
-        known: Some(known),
-    });
-    let clients_at = program.await_address();
-    program.await_log("ready: serving");
+    let (_program, clients_at) = start(mixers, "subscribe", address, known);
     ask_for(clients_at, QUIET);
     let since = Instant::now();
     *crowded_at.lock().expect("a lock") = Some(since);
@@ -265,37 +273,48 @@
     assert_eq!(describe(&late), None);
 }
 
-/// The opposite rule: discovery that is silent or refuses for 30 s while nothing changes stops no service.
+/// How discovery is away.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Outage {
+    Silent,
+    Refuses,
+    /// Nobody listens there.
+    Unreachable,
+}
+
+/// The opposite rule: discovery that is silent, refuses or is not there for 30 s while nothing changes stops no service.
 #[test]
 fn an_outage_without_news_stops_no_service() {
     let fleets = [4, 32, 300];
+    let outages = [Outage::Silent, Outage::Refuses, Outage::Unreachable];
     let cases = fleets
         .into_iter()
-        .flat_map(|mixers| [(mixers, Others::Held), (mixers, Others::Refused)]);
-    let failed = failures(cases, |(mixers, others)| rejected_in_outage(mixers, others));
+        .flat_map(|mixers| outages.map(|outage| (mixers, outage)));
+    let failed = failures(cases, |(mixers, outage)| rejected_in_outage(mixers, outage));
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
 /// What was not served in an outage in which nothing changes, with the log.
-fn rejected_in_outage(mixers: u32, others: Others) -> Option<String> {
-    const OUTAGE: Duration = Duration::from_secs(30);
+fn rejected_in_outage(mixers: u32, outage: Outage) -> Option<String> {
+    const LENGTH: Duration = Duration::from_secs(30);
     let server = LeafServer::start();
     let before = server.line("kept", "Ready");
     let known = before.clone();
-    let registry = Registry::new(others, OUTAGE);
+    let others = match outage {
+        Outage::Silent => Others::Held,
+        Outage::Refuses | Outage::Unreachable => Others::Refused,
+    };
+    let registry = Registry::new(others, LENGTH);
     let shared = registry.clone();
-    let address = discovery(move |asked| shared.reply(asked, &before, &before));
-    let program = Program::start(&Setup {
-        mixers,
-        mode: "subscribe",
-        discovery: address,
-        known: Some(known),
+    let has_left = Arc::new(AtomicBool::new(false));
+    let address = discovery_until(has_left.clone(), move |asked| {
+        shared.reply(asked, &before, &before)
     });
-    let clients_at = program.await_address();
-    program.await_log("ready: serving");
+    let (program, clients_at) = start(mixers, "subscribe", address, known);
     ask_for(clients_at, QUIET);
+    has_left.store(outage == Outage::Unreachable, Ordering::Relaxed);
     registry.go_away();
-    let served = ask_for(clients_at, OUTAGE);
+    let served = ask_for(clients_at, LENGTH);
     let log: Vec<String> = program.log.try_iter().map(|(_, line)| line).collect();
     let rejected = served.asked - served.served;
     (rejected > 0).then(|| format!("{rejected} of {} not served: {log:#?}", served.asked))
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -16,6 +17,8 @@
 /// Draws the times that are random: with this one a watch among 1,000 mixers is put off for some seconds only.
 const SEED: u32 = 7;
 const SETTINGS: &str = include_str!("../exchanges/settings.json");
+/// How often a stand-in that may end looks for connections.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
 /// How long a client that asks one thing after the other rests between two.
 const QUERY_INTERVAL: Duration = Duration::from_millis(10);
 /// The line of a list for a server that nobody listens for.
@@ -76,6 +79,29 @@
     address
 }
 
+/// The same, until the flag is set: from then on nobody listens there.
+pub fn discovery_until(
+    is_over: Arc<AtomicBool>,
+    reply: impl Fn(Asked) -> Reply + Send + Sync + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.set_nonblocking(true).expect("a socket");
+    let address = listener.local_addr().expect("an address");
+    let reply = Arc::new(reply);
+    std::thread::spawn(move || {
+        while !is_over.load(Ordering::Relaxed) {
+            let Ok((stream, _)) = listener.accept() else {
+                std::thread::sleep(ACCEPT_INTERVAL);
+                continue;
+            };
+            stream.set_nonblocking(false).expect("a socket");
+            let reply = reply.clone();
+            std::thread::spawn(move || answer_calls(stream, reply.as_ref()));
+        }
+    });
+    address
+}
+
 fn answer_text(body: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
