Verify an answer by the bounds of its client's deadline

Cause: a request that is read in a turn in which the process was stopped came before or after the stop. It is served by the earliest deadline that its client may have, which is right; but its answer was judged by that deadline too, as if it were known.

Change: a request carries how much longer its client may wait. An answer late for the latest deadline is a violation as before, for the earliest alone undecided, counted and logged with both.

--- a/src/net/client/opensearch/request.rs
+++ b/src/net/client/opensearch/request.rs
@@ -188,6 +188,7 @@
         key: options.routing().map_or(0, route_key),
         repeat: false,
         timeout_s: timeout_s.min(settings.deadline_s),
+        timeout_uncertainty_s: 0.0,
         idempotency: created_id.filter(|_| needs_key).map(String::from),
         text,
         complete_only: !options.allows_partial,
--- a/src/net/client/platform.rs
+++ b/src/net/client/platform.rs
@@ -198,6 +198,7 @@
         key: message.header("x-route-key").map_or(0, route_key),
         repeat: message.header("x-retried") == Some("1"),
         timeout_s,
+        timeout_uncertainty_s: 0.0,
         idempotency,
         text: body.statement,
         complete_only: false,
--- a/src/requests/coordinator/answering.rs
+++ b/src/requests/coordinator/answering.rs
@@ -6,6 +6,7 @@
 use super::Coordinator;
 use crate::decisions::api::QueryId;
 use crate::requests::command::Command;
+use crate::requests::invariants::Verification;
 use crate::requests::metrics::{count, ClassMetrics};
 use crate::requests::part::PartState;
 use crate::requests::query_request::QueryRequest;
@@ -65,16 +66,7 @@
         };
         self.withdraw_unsent(now, &request, out);
         let took_s = now - request.taken_at;
-        let in_time = self
-            .invariants
-            .verify_answer(now, request.client_deadline());
-        if let Err(rule) = in_time {
-            let id = &request.query_request.id;
-            let rule = rule.label();
-            out.push(Command::Log(format!(
-                "invariant violated: {rule}: request {id} is answered after {took_s:.3} s"
-            )));
-        }
+        self.verify_in_time(now, &request, out);
         self.count_answer(&request, &last, took_s);
         out.push(Command::Reply {
             caller: request.caller,
@@ -84,6 +76,23 @@
         });
     }
 
+    fn verify_in_time(&mut self, now: f64, request: &Request, out: &mut Vec<Command>) {
+        let deadline = request.client_deadline_bounds();
+        let (finding, rule) = match self.invariants.verify_answer(now, deadline) {
+            Verification::Kept => return,
+            Verification::Violated(rule) => ("violated", rule),
+            Verification::Undecided(rule) => ("undecided", rule),
+        };
+        let id = &request.query_request.id;
+        let rule = rule.label();
+        let took_s = now - request.taken_at;
+        let earliest_s = deadline.earliest - request.taken_at;
+        let latest_s = deadline.latest - request.taken_at;
+        out.push(Command::Log(format!(
+            "invariant {finding}: {rule}: request {id} is answered after {took_s:.3} s, its client waited for {earliest_s:.3} to {latest_s:.3} s"
+        )));
+    }
+
     fn count_answer(&mut self, request: &Request, last: &FinalAnswer, took_s: f64) {
         let metrics = &mut self.metrics[request.query_request.protocol as usize];
         match last {
--- a/src/requests/query_request.rs
+++ b/src/requests/query_request.rs
@@ -33,6 +33,8 @@
     pub repeat: bool,
     /// How long the client still waits (seconds).
     pub timeout_s: f64,
+    /// It may wait this much longer, because it is not known when its request came (seconds).
+    pub timeout_uncertainty_s: f64,
     /// The idempotency key by which leaf servers discard a repeat, in a class that has them.
     pub idempotency: Option<String>,
     /// The payload that every part carries.
--- a/src/requests/request.rs
+++ b/src/requests/request.rs
@@ -4,6 +4,7 @@
 
 use crate::decisions::api::{ClassSettings, Effect, Outcome, PartId, QueryId};
 use crate::requests::attempt::{has_never_run, Attempt};
+use crate::requests::invariants::DeadlineBounds;
 use crate::requests::query_request::QueryRequest;
 use std::rc::Rc;
 
@@ -44,6 +45,15 @@
         self.taken_at + self.query_request.timeout_s
     }
 
+    /// When its client stops to wait, as far as it is known when the request came.
+    pub(super) fn client_deadline_bounds(&self) -> DeadlineBounds {
+        let earliest = self.client_deadline();
+        DeadlineBounds {
+            earliest,
+            latest: earliest + self.query_request.timeout_uncertainty_s,
+        }
+    }
+
     /// Until when the coordinator works on it: its client's deadline less the time that sending an answer takes.
     pub(super) fn deadline(&self) -> f64 {
         self.client_deadline() - RESPONSE_MARGIN_S
