Close the soak's clients when they are due, not an eighth of their wait later

Cause: a receive timeout of the system ends late by up to an eighth of its length: 2.161 s ended 0.086 to 0.171 s late, 2.3 s 0.207 to 0.256 s, 0.2 s up to 0.008 s (5 to 8 waits each). The clients wait in slices of 0.1 s now.

--- a/crates/wharfhub-testbed/src/soak/clients.rs
+++ b/crates/wharfhub-testbed/src/soak/clients.rs
@@ -17,6 +17,8 @@
 const MIN_WAIT_MS: u64 = 250;
 /// Half a second after its time an answer still counts.
 const LATE: Duration = Duration::from_millis(500);
+/// Longest single wait for bytes: its end is late by a few milliseconds at most.
+const MAX_WAIT_SLICE: Duration = Duration::from_millis(100);
 /// Share of the requests of the keyed class.
 const KEYED_SHARE: f64 = 0.25;
 /// Odds that a client leaves early, while clients do.
@@ -264,18 +266,28 @@
     )
 }
 
-/// Sets how long the next read may take; an error where that time is over.
-fn limit(stream: &BufReader<TcpStream>, until: Instant) -> io::Result<()> {
-    let left = until.saturating_duration_since(Instant::now());
-    if left.is_zero() {
-        return Err(io::ErrorKind::TimedOut.into());
+/// Waits for bytes of an answer, and sets how long the reads after that may take; an error where that time is over. Waits in
+/// slices, because a receive timeout ends late by up to an eighth of its length: a client closes when it is due.
+fn await_bytes(stream: &mut BufReader<TcpStream>, until: Instant) -> io::Result<()> {
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        stream
+            .get_ref()
+            .set_read_timeout(Some(left.min(MAX_WAIT_SLICE)))?;
+        match stream.fill_buf() {
+            Ok(_) => return stream.get_ref().set_read_timeout(Some(left)),
+            Err(error) if is_timeout(&error) => {}
+            Err(error) => return Err(error),
+        }
     }
-    stream.get_ref().set_read_timeout(Some(left))
 }
 
 fn read_answer(stream: &mut BufReader<TcpStream>, until: Instant) -> io::Result<Answer> {
     let mut line = String::new();
-    limit(stream, until)?;
+    await_bytes(stream, until)?;
     if stream.read_line(&mut line)? == 0 {
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
@@ -287,7 +299,7 @@
     let (mut length, mut keeps_alive) = (0, true);
     loop {
         line.clear();
-        limit(stream, until)?;
+        await_bytes(stream, until)?;
         if stream.read_line(&mut line)? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
@@ -305,7 +317,7 @@
             _ => {}
         }
     }
-    limit(stream, until)?;
+    await_bytes(stream, until)?;
     stream.read_exact(&mut vec![0; length])?;
     Ok(Answer {
         status,
