Make no second call beside an open one while an answer is missing

After a reset of its watch a mixer holds nothing in use and waits for an answer; its second call, after 0.3 s, is refused by the crowded discovery together with the open one, which loses its turn.

Change: while an answer is missing, calls have the timeouts that they had before and none goes out beside an open one: nothing is sent by the list then, so that there is nothing to gain. Overdue calls stay open as before.

--- a/src/net/discovery/answers.rs
+++ b/src/net/discovery/answers.rs
@@ -7,7 +7,7 @@
 use crate::endpoints::list_format;
 use crate::endpoints::missing_answers::CallEnd;
 use crate::net::discovery::calls::Step;
-use crate::net::discovery::client::{fleet_of, DiscoveryClient};
+use crate::net::discovery::client::DiscoveryClient;
 use crate::net::discovery::connection::{Call, DiscoveryError, OpenCall, Received, Role};
 use crate::net::discovery::link::{connection, connection_mut, open_call};
 use crate::net::discovery::list;
@@ -517,8 +517,8 @@
 
     /// While an overdue call is open, discovery may have written its answer: a small fleet calls again soon.
     fn retry_beside_overdue(&mut self, runtime: &mut Runtime, failure: Failure) {
-        let mixers = fleet_of(&runtime.deployment.policy).sharers();
-        if let Some(delay_s) = self.link.retry_beside_overdue_s(mixers) {
+        let mixers = self.mixers_calling_beside(runtime);
+        if let Some(delay_s) = mixers.and_then(|mixers| self.link.retry_beside_overdue_s(mixers)) {
             let is_due = failure == Failure::Overdue;
             self.link
                 .retry_after(runtime, if is_due { 0.0 } else { delay_s });
--- a/src/net/discovery/calls.rs
+++ b/src/net/discovery/calls.rs
@@ -118,7 +118,7 @@
     }
 
     fn plan_opening(&self, runtime: &Runtime, key: ConnectionKey, call: Call) -> Step {
-        let mixers = fleet_of(&runtime.deployment.policy).sharers();
+        let mixers = self.mixers_calling_beside(runtime);
         Step::Make(PlannedCall {
             key,
             call,
@@ -126,6 +126,13 @@
         })
     }
 
+    /// The mixers that call the same discovery, if this one calls again soon beside an open call. None while an answer is missing:
+    /// nothing is sent by the list then, and another call could cost a crowded discovery's turn of the open one.
+    pub(super) fn mixers_calling_beside(&self, runtime: &Runtime) -> Option<u32> {
+        let sharers = fleet_of(&runtime.deployment.policy).sharers();
+        (!self.lease.is_answer_missing(runtime.now)).then_some(sharers)
+    }
+
     fn plan_check(&self, key: ConnectionKey, since: u64) -> Step {
         Step::Make(PlannedCall {
             key,
--- a/src/net/discovery/link.rs
+++ b/src/net/discovery/link.rs
@@ -116,14 +116,17 @@
         }
     }
 
-    /// After which time a call that opens a watch is overdue (seconds), among `mixers` that call the same discovery.
-    pub(super) fn open_timeout_s(&self, call: Call, mixers: u32) -> f64 {
+    /// After which time a call that opens a watch is overdue (seconds), among `mixers` that call the same discovery, if they call
+    /// again soon beside an open call.
+    pub(super) fn open_timeout_s(&self, call: Call, mixers: Option<u32>) -> f64 {
         if call == Call::WholeList || self.refuses_open_calls {
             return watch_schedule::OPEN_TIMEOUT_S;
         }
-        watch_schedule::open_timeout_s(self.has_worked, self.failed_opens).min(
-            watch_schedule::overdue_after_s(mixers, self.overdue.count()),
-        )
+        let timeout_s = watch_schedule::open_timeout_s(self.has_worked, self.failed_opens);
+        let overdue_calls = self.overdue.count();
+        mixers.map_or(timeout_s, |mixers| {
+            timeout_s.min(watch_schedule::overdue_after_s(mixers, overdue_calls))
+        })
     }
 
     /// Delay before the call after one that failed while an overdue call is open (seconds), among `mixers` that call the same
