Name what follows an overdue call in the field's words

A read of the whole change: three names said beside; they say while_overdue and calling_again. A bound on doublings goes that the bound of three overdue calls and the timeout made dead.

--- a/src/endpoints/watch_schedule.rs
+++ b/src/endpoints/watch_schedule.rs
@@ -57,13 +57,12 @@
 /// open, and a change in it counts as notified. A small fleet soon calls again, less often the more calls are open.
 pub fn overdue_after_s(mixers: u32, overdue_calls: usize) -> f64 {
     let overdue_s = (f64::from(mixers) * OVERDUE_EACH_S).max(MIN_OVERDUE_S);
-    let doublings = overdue_calls.min(8) as f64;
-    (overdue_s * doublings.exp2()).min(OPEN_TIMEOUT_S)
+    (overdue_s * (overdue_calls as f64).exp2()).min(OPEN_TIMEOUT_S)
 }
 
 /// Delay before the call after one that failed while an overdue call is open (seconds), among `mixers` that call the same
 /// discovery; none where these are too many to call more often than the watch schedule says.
-pub fn retry_beside_overdue_s(mixers: u32) -> Option<f64> {
+pub fn retry_while_overdue_s(mixers: u32) -> Option<f64> {
     let delay_s = overdue_after_s(mixers, 0);
     (delay_s < OPEN_TIMEOUT_S).then_some(delay_s)
 }
--- a/src/endpoints/watch_schedule/tests.rs
+++ b/src/endpoints/watch_schedule/tests.rs
@@ -169,7 +169,7 @@
 ) {
     let is_close = |a: f64, b: f64| (a - b).abs() < 1e-9;
     assert!(is_close(overdue_after_s(mixers, overdue_calls), expected_s));
-    let retry = retry_beside_overdue_s(mixers);
+    let retry = retry_while_overdue_s(mixers);
     assert_eq!(retry.is_some(), retry_s.is_some());
     assert!(retry.zip(retry_s).is_none_or(|(a, b)| is_close(a, b)));
 }
--- a/src/net/discovery/answers.rs
+++ b/src/net/discovery/answers.rs
@@ -508,7 +508,7 @@
             (_, Role::Watch) => {
                 let is_unanswered = matches!(failed.reason, DiscoveryError::TimedOut);
                 self.watch_failed(runtime, is_unanswered);
-                self.retry_beside_overdue(runtime, failed.failure);
+                self.retry_while_overdue(runtime, failed.failure);
                 Step::Wait
             }
             (_, Role::Heartbeat) => self.check_failed(runtime),
@@ -516,9 +516,9 @@
     }
 
     /// While an overdue call is open, discovery may have written its answer: a small fleet calls again soon.
-    fn retry_beside_overdue(&mut self, runtime: &mut Runtime, failure: Failure) {
-        let mixers = self.mixers_calling_beside(runtime);
-        if let Some(delay_s) = mixers.and_then(|mixers| self.link.retry_beside_overdue_s(mixers)) {
+    fn retry_while_overdue(&mut self, runtime: &mut Runtime, failure: Failure) {
+        let mixers = self.mixers_calling_again(runtime);
+        if let Some(delay_s) = mixers.and_then(|mixers| self.link.retry_while_overdue_s(mixers)) {
             let is_due = failure == Failure::Overdue;
             self.link
                 .retry_after(runtime, if is_due { 0.0 } else { delay_s });
--- a/src/net/discovery/calls.rs
+++ b/src/net/discovery/calls.rs
@@ -118,7 +118,7 @@
     }
 
     fn plan_opening(&self, runtime: &Runtime, key: ConnectionKey, call: Call) -> Step {
-        let mixers = self.mixers_calling_beside(runtime);
+        let mixers = self.mixers_calling_again(runtime);
         Step::Make(PlannedCall {
             key,
             call,
@@ -128,7 +128,7 @@
 
     /// The mixers that call the same discovery, if this one calls again soon beside an open call. None while an answer is missing:
     /// nothing is sent by the list then, and another call could cost a crowded discovery's turn of the open one.
-    pub(super) fn mixers_calling_beside(&self, runtime: &Runtime) -> Option<u32> {
+    pub(super) fn mixers_calling_again(&self, runtime: &Runtime) -> Option<u32> {
         let sharers = fleet_of(&runtime.deployment.policy).sharers();
         (!self.lease.is_answer_missing(runtime.now)).then_some(sharers)
     }
--- a/src/net/discovery/link.rs
+++ b/src/net/discovery/link.rs
@@ -131,11 +131,11 @@
 
     /// Delay before the call after one that failed while an overdue call is open (seconds), among `mixers` that call the same
     /// discovery; none if the watch schedule decides alone.
-    pub(super) fn retry_beside_overdue_s(&self, mixers: u32) -> Option<f64> {
+    pub(super) fn retry_while_overdue_s(&self, mixers: u32) -> Option<f64> {
         if self.overdue.count() == 0 || self.refuses_open_calls {
             return None;
         }
-        watch_schedule::retry_beside_overdue_s(mixers)
+        watch_schedule::retry_while_overdue_s(mixers)
     }
 
     /// Schedules the retry of a failed call, unless one comes sooner. There is one such time, because each failed call would add
