Take a turn's time before its last look at the sockets, and all closes first

No caller was hurt in that order; in the third one below a call could have left for a client that had gone.

Causes, each with its trace: - the clock was read to decide on the second poll and again for the turn; a stop between the two gave a late turn with old events - deadlines were postponed once, not twice in a row; the turn after a stop takes 0.1 s itself, and a stop in the next one was acted upon - a client's close was followed at once by its consequences: cancelling its attempt flushed a call of another client, whose close came next

Why this works: the time of the turn is read before the last poll, so what a turn does by the clock is never later than what it knows. A long turn handles only the deadlines that had come when it began. Closes are noted first, then discovery is read, then come the consequences of both.

--- a/src/net/client/routing.rs
+++ b/src/net/client/routing.rs
@@ -220,7 +220,8 @@
     }
 
     /// Handles the clients that have closed their sides before anything else is done that could be for them: whoever has
-    /// gone gets no further attempt, also where one is found to have failed in the same turn.
+    /// gone gets no further attempt, also where one is found to have failed in the same turn. What follows from it is left to
+    /// [`Mixer::settle`], because to cancel an attempt of one client may send what its connection holds for another.
     pub(in crate::net) fn handle_client_disconnects(&mut self, events: &TurnEvents) {
         let is_end = |event: &&mio::event::Event| event.is_read_closed() || event.is_error();
         for event in events.iter().filter(is_end) {
@@ -229,7 +230,6 @@
             let is_connection = token(key) == event.token();
             if is_connection && self.clients.has_request(&self.runtime, key) {
                 self.client_event(key, true);
-                self.settle();
             }
         }
     }
--- a/src/net/discovery/routing.rs
+++ b/src/net/discovery/routing.rs
@@ -96,7 +96,8 @@
 // Answers and failures of calls.
 impl Mixer {
     /// Reads from discovery before anything that clients bring: a change counts as notified from the moment it was written, also
-    /// if the loop was held up and a request was received first. Gives whose events have been handled.
+    /// if the loop was held up and a request was received first. Gives whose events have been handled. What follows from them
+    /// is left to [`Mixer::settle`].
     pub(in crate::net) fn receive_from_discovery(&mut self, events: &TurnEvents) -> Vec<Token> {
         let was_held_up = self.runtime.now > self.runtime.previous_turn_at + HELD_UP_S;
         let mut handled = Vec::new();
@@ -105,7 +106,6 @@
             let has_event = events.iter().any(|event| event.token() == token);
             if was_held_up || has_event {
                 self.discovery_event(key);
-                self.settle();
                 handled.push(token);
             }
         }
@@ -313,7 +313,6 @@
         self.discovery.change_missed(&mut self.runtime, since);
         self.publish_lease();
         self.call_discovery();
-        self.settle();
     }
 }
 
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -111,22 +111,24 @@
         let mut events = TurnEvents::with_capacity(MAX_EVENTS_PER_TURN);
         let mut standstill = StandstillDetector::default();
         while self.lifecycle.phase() != Phase::Stopped {
-            if self.await_events(&mut events, &mut standstill)? {
-                self.turn(&events, &mut standstill);
+            if let Some(woke_at) = self.await_events(&mut events, &mut standstill)? {
+                self.turn(woke_at, &events, &mut standstill);
             }
         }
         Ok(())
     }
 
-    /// Waits for events until the next deadline. Returns false where a signal has ended the wait.
+    /// Waits for events until the next deadline. Returns when it was over, none where a signal has ended it. The events include
+    /// all that had come by then, but for the last `HELD_UP_S`: what a turn does by the clock must not be later than what it
+    /// knows.
     fn await_events(
         &mut self,
         events: &mut TurnEvents,
         standstill: &mut StandstillDetector,
-    ) -> Result<bool, NetError> {
+    ) -> Result<Option<f64>, NetError> {
         let runtime = &mut self.runtime;
         let polled_at = runtime.clock.now();
-        let timeout = if self.replicas.has_held_back() || standstill.has_postponed_deadlines() {
+        let timeout = if self.replicas.has_held_back() {
             Some(Duration::ZERO)
         } else {
             runtime.timers.wait(polled_at)
@@ -136,19 +138,21 @@
         }
         events.latest.clear();
         if !poll(runtime, &mut events.waited_for, timeout)? {
-            return Ok(false);
+            return Ok(None);
         }
-        if runtime.clock.now() > polled_at + lease::HELD_UP_S {
+        let woke_at = runtime.clock.now();
+        if woke_at > polled_at + lease::HELD_UP_S {
             poll(runtime, &mut events.latest, Some(Duration::ZERO))?;
         }
-        Ok(true)
+        Ok(Some(woke_at))
     }
 
     /// One turn: handles the events, then the deadlines that have come.
-    fn turn(&mut self, events: &TurnEvents, standstill: &mut StandstillDetector) {
-        let woke_at = self.begin_turn(standstill);
+    fn turn(&mut self, woke_at: f64, events: &TurnEvents, standstill: &mut StandstillDetector) {
+        self.begin_turn(woke_at, standstill);
         // Operators come first: what clients bring must not keep their replies waiting.
         self.handle_admin_events(events);
+        self.handle_client_disconnects(events);
         let handled = self.receive_from_discovery(events);
         if let Some(since) = standstill.take_beginning() {
             let stood_still_s = self.runtime.now - since;
@@ -157,7 +161,7 @@
             ));
             self.confirm_after_standstill(since);
         }
-        self.handle_client_disconnects(events);
+        self.settle();
         self.flush_held_back();
         for event in events.iter() {
             if !handled.contains(&event.token()) {
@@ -165,12 +169,7 @@
             }
             self.settle();
         }
-        self.runtime.now = self.runtime.clock.now();
-        let turn_s = self.runtime.now - woke_at;
-        standstill.turn_took(turn_s, self.runtime.turn_began_at);
-        if standstill.postpone_deadlines(turn_s) {
-            return;
-        }
+        self.advance_to_deadlines(woke_at, standstill);
         while let Some(deadline) = self.runtime.timers.next(self.runtime.now) {
             self.handle_deadline(deadline);
             self.settle();
@@ -178,10 +177,10 @@
         self.check_end();
     }
 
-    /// Reads the clock for this turn, and notes whether the process stood still during the wait. Returns the time.
-    fn begin_turn(&mut self, standstill: &mut StandstillDetector) -> f64 {
+    /// Sets the time of this turn, and notes whether the process stood still during the wait.
+    fn begin_turn(&mut self, woke_at: f64, standstill: &mut StandstillDetector) {
         let runtime = &mut self.runtime;
-        runtime.now = runtime.clock.now();
+        runtime.now = woke_at;
         runtime.previous_turn_at = runtime.turn_began_at;
         runtime.turn_began_at = runtime.now;
         let overslept_s = standstill.woke(runtime.now, runtime.previous_turn_at);
@@ -189,7 +188,16 @@
             // A stop comes at the end of a system call: the poll may have looked before it.
             runtime.turn_began_at = runtime.previous_turn_at;
         }
-        runtime.now
+    }
+
+    /// Reads the clock for the deadlines of this turn. Where handling the events took long, its deadlines are those that had come
+    /// when it began: others wait until the sockets have been looked at again.
+    fn advance_to_deadlines(&mut self, woke_at: f64, standstill: &mut StandstillDetector) {
+        let now = self.runtime.clock.now();
+        standstill.turn_took(now - woke_at, self.runtime.turn_began_at);
+        if now <= woke_at + lease::HELD_UP_S {
+            self.runtime.now = now;
+        }
     }
 
     fn handle_admin_events(&mut self, events: &TurnEvents) {
--- a/src/net/standstill.rs
+++ b/src/net/standstill.rs
@@ -2,7 +2,7 @@
 //!
 //! This file owns when the loop expected to wake and since when it may have stood still. It must never read a clock.
 
-use crate::net::discovery::lease::{HELD_UP_S, STANDSTILL_S};
+use crate::net::discovery::lease::STANDSTILL_S;
 
 /// What the loop knows of its own wake-ups. Times are of the loop's clock (seconds).
 pub(super) struct StandstillDetector {
@@ -10,7 +10,6 @@
     wake_at: f64,
     /// Since when the process may have stood still, until the loop has dealt with it.
     beginning: Option<f64>,
-    has_postponed_deadlines: bool,
 }
 
 impl Default for StandstillDetector {
@@ -18,7 +17,6 @@
         StandstillDetector {
             wake_at: f64::INFINITY,
             beginning: None,
-            has_postponed_deadlines: false,
         }
     }
 }
@@ -46,18 +44,6 @@
         }
     }
 
-    /// Whether a turn whose events took so long (seconds) leaves the deadlines to the next one: a loop that was held up handles
-    /// what came meanwhile before it acts by the clock. Not twice in a row, because handling events may take that long.
-    pub(super) fn postpone_deadlines(&mut self, turn_s: f64) -> bool {
-        self.has_postponed_deadlines = turn_s > HELD_UP_S && !self.has_postponed_deadlines;
-        self.has_postponed_deadlines
-    }
-
-    /// Whether the last turn left its deadlines to the next one.
-    pub(super) fn has_postponed_deadlines(&self) -> bool {
-        self.has_postponed_deadlines
-    }
-
     /// Since when the process may have stood still; once only.
     pub(super) fn take_beginning(&mut self) -> Option<f64> {
         self.beginning.take()
--- a/tests/standstill.rs
+++ b/tests/standstill.rs
@@ -80,6 +80,11 @@
         .lines()
         .filter(|line| line.starts_with("svc_violations_total") && !line.ends_with(" 0"))
         .collect();
-    assert!(violations.is_empty(), "{violations:?}");
+    let notes: Vec<String> = program.log.try_iter().map(|(_, line)| line).collect();
+    assert!(
+        violations.is_empty(),
+        "{violations:?}\n{}",
+        notes.join("\n")
+    );
     assert!(servers.iter().all(|server| !server.calls().is_empty()));
 }
