Let the soak's clients close before a late answer stops to count

Change: the clients close 0.4 s after their timeout, so that a mixer that goes on around the limit has the close before it. The check is stricter by 0.1 s: no answer within 0.4 s is "no answer in time".

--- a/crates/wharfhub-testbed/src/soak/clients.rs
+++ b/crates/wharfhub-testbed/src/soak/clients.rs
@@ -15,8 +15,9 @@
 const MAX_PAUSE_MS: u64 = 120;
 /// How long a client waits for its answer, at least (milliseconds).
 const MIN_WAIT_MS: u64 = 250;
-/// Half a second after its time an answer still counts.
-const LATE: Duration = Duration::from_millis(500);
+/// How long after its timeout a client closes. An answer counts for 0.5 s: a mixer that goes on after a stop right at the end of
+/// that time finds the client gone.
+const CLOSES_AFTER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest single wait for bytes: its end is late by a few milliseconds at most.
 const MAX_WAIT_SLICE: Duration = Duration::from_millis(100);
 /// Share of the requests of the keyed class.
@@ -187,7 +188,7 @@
             };
             return (written_at, end);
         }
-        let until = Instant::now() + leaves_after.unwrap_or(wait + LATE);
+        let until = Instant::now() + leaves_after.unwrap_or(wait + CLOSES_AFTER_TIMEOUT);
         let answer = read_answer(&mut stream, until);
         let at = self.recorder.now();
         let end = match answer {
