--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -34,7 +34,10 @@
     Lost(String, Cut),
     Status(u16),
     Nothing,
+    /// The connection is closed.
     Reset,
+    /// The connection is reset, because the rest of the request is not read.
+    ResetUnread,
 }
 
 /// What arrives of an answer, before its connection is closed.
@@ -110,7 +113,8 @@
 }
 
 fn answer_calls(mut stream: TcpStream, reply: &dyn Fn(Asked) -> Reply) {
-    let mut lines = BufReader::new(stream.try_clone().expect("a descriptor"))
+    // One byte at a time, so that the rest of a request stays unread until it is asked for.
+    let mut lines = BufReader::with_capacity(1, stream.try_clone().expect("a descriptor"))
         .lines()
         .map_while(Result::ok);
     while let Some(line) = lines.next() {
@@ -122,13 +126,17 @@
                 .ok()
         };
         let asked = number("index=").zip(number("wait="));
+        let reply = reply(asked);
+        if matches!(reply, Reply::ResetUnread) {
+            return;
+        }
         lines
             .by_ref()
             .take_while(|header| !header.is_empty())
             .for_each(drop);
-        let sent = match reply(asked) {
+        let sent = match reply {
             Reply::Nothing => continue,
-            Reply::Reset => return,
+            Reply::Reset | Reply::ResetUnread => return,
             Reply::Lost(body, cut) => {
                 let complete = answer_text(&body);
                 let sent = stream.write_all(&complete.as_bytes()[..cut.arriving(complete.len())]);
