Open a socket again at the start where the system is short for a moment

Cause: the error of bind was final, whatever it was. Change: EINTR, EAGAIN, ENOMEM, ENFILE, EMFILE and ENOBUFS are tried again every 20 ms for 2 s, for the listeners of clients, operators and store and for VRRP; any other error, an address in use among them, is final as before. Unit tests count the tries.

--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -1,21 +1,48 @@
 //! What connections and listeners of every kind do alike with their sockets.
 //!
-//! This file owns no socket. It must never block, and never decide what an error means for a connection.
+//! This file owns no socket. It must never block, except at the start of the process, and never decide what an error means for a
+//! connection.
 
 use crate::net::error::NetError;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use std::io::{self, Write};
 use std::net::SocketAddr;
+use std::time::Duration;
 
-/// Listens on an address, and has the poll watch for connections.
+/// At the start of the process, a socket that the system refuses for now is tried again after this time.
+const START_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// So often, some 2 s in all.
+const MAX_START_RETRIES: u32 = 100;
+/// Errors of a system that is short of something for now: EINTR, EAGAIN, ENOMEM, ENFILE, EMFILE, ENOBUFS on Linux.
+const TRANSIENT_ERRORS: [i32; 6] = [4, 11, 12, 23, 24, 105];
+
+/// Opens a socket at the start of the process, before its loop runs: again for a while where the system is short of descriptors or
+/// memory. Any other error is returned at once.
+pub(super) fn open_at_start<S>(mut open: impl FnMut() -> io::Result<S>) -> io::Result<S> {
+    for _ in 0..MAX_START_RETRIES {
+        match open() {
+            Err(error) if is_transient(&error) => std::thread::sleep(START_RETRY_INTERVAL),
+            result => return result,
+        }
+    }
+    open()
+}
+
+fn is_transient(error: &io::Error) -> bool {
+    error
+        .raw_os_error()
+        .is_some_and(|code| TRANSIENT_ERRORS.contains(&code))
+}
+
+/// Listens on an address, and has the poll watch for connections. To be called at the start of the process.
 pub(super) fn listen(
     registry: &Registry,
     address: SocketAddr,
     token: Token,
 ) -> Result<TcpListener, NetError> {
-    let mut listener =
-        TcpListener::bind(address).map_err(|error| NetError::Listen { address, error })?;
+    let mut listener = open_at_start(|| TcpListener::bind(address))
+        .map_err(|error| NetError::Listen { address, error })?;
     registry.register(&mut listener, token, Interest::READABLE)?;
     Ok(listener)
 }
@@ -45,3 +72,6 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/vrrp_socket.rs
+++ b/src/net/vrrp_socket.rs
@@ -6,6 +6,7 @@
 use crate::config::VrrpSetup;
 use crate::net::error::NetError;
 use crate::net::runtime::Runtime;
+use crate::net::socket::open_at_start;
 use crate::net::timer_queue::Deadline;
 use crate::net::tokens::VRRP;
 use crate::vrrp::{Advertisement, Event, Router, State};
@@ -40,8 +41,8 @@
         setup: VrrpSetup,
     ) -> Result<VrrpSocket, NetError> {
         let address = setup.listen;
-        let mut socket =
-            UdpSocket::bind(address).map_err(|error| NetError::Listen { address, error })?;
+        let mut socket = open_at_start(|| UdpSocket::bind(address))
+            .map_err(|error| NetError::Listen { address, error })?;
         runtime
             .poll
             .registry()
