Say once how a verification is worded, and when a first call ends

The match from a verification to its word and rule stood twice; ListLease::call_ended saved and restored first_call_at round record_failure. No change of behaviour; unit tests of the library pass.

--- a/src/endpoints/lease.rs
+++ b/src/endpoints/lease.rs
@@ -214,15 +214,15 @@
             } => {
                 self.missing_answers
                     .call_ended(end, began_at, answer_not_before, now);
-                let first_call_at = self.first_call_at;
                 self.record_failure(began_at, now);
-                if end == CallEnd::GivenUp {
-                    self.first_call_at = first_call_at; // the call may still be answered
+                if end != CallEnd::GivenUp {
+                    self.first_call_at = None; // one that was given up may still be answered
                 }
                 self.next_call(end)
             }
             CallOutcome::NotOpened => {
                 self.record_failure(now, now);
+                self.first_call_at = None;
                 NextCall::AsScheduled
             }
             CallOutcome::Abandoned {
@@ -266,7 +266,6 @@
         };
         self.failed_calls = self.failed_calls.saturating_add(weight);
         self.failed_at = now;
-        self.first_call_at = None;
     }
 
     /// No call is made before then, because discovery's list is longer than what is read.
--- a/src/net/replica/sending.rs
+++ b/src/net/replica/sending.rs
@@ -13,7 +13,7 @@
 use crate::net::tokens::PROTOCOLS;
 use crate::net::ConnectionKey;
 use crate::requests::coordinator::AttemptKey;
-use crate::requests::invariants::{CallTimes, Destination, Invariant, Verification, WriteInterval};
+use crate::requests::invariants::{CallTimes, Destination, Invariant, WriteInterval};
 use std::io;
 
 /// What a write has done.
@@ -235,10 +235,9 @@
             not_after,
         };
         let invariants = runtime.coordinator.invariants_mut();
-        let (finding, rule) = match invariants.verify_call(written, to, &call.times) {
-            Verification::Kept => continue,
-            Verification::Violated(rule) => ("violated", rule),
-            Verification::Undecided(rule) => ("undecided", rule),
+        let verification = invariants.verify_call(written, to, &call.times);
+        let Some((finding, rule)) = verification.finding() else {
+            continue;
         };
         let held_up_s = call.not_before - runtime.now;
         let write_s = not_after - call.not_before;
--- a/src/requests/coordinator/answering.rs
+++ b/src/requests/coordinator/answering.rs
@@ -6,7 +6,6 @@
 use super::Coordinator;
 use crate::decisions::api::QueryId;
 use crate::requests::command::Command;
-use crate::requests::invariants::Verification;
 use crate::requests::metrics::{count, ClassMetrics};
 use crate::requests::part::PartState;
 use crate::requests::query_request::QueryRequest;
@@ -78,10 +77,9 @@
 
     fn verify_in_time(&mut self, now: f64, request: &Request, out: &mut Vec<Command>) {
         let deadline = request.client_deadline_bounds();
-        let (finding, rule) = match self.invariants.verify_answer(now, deadline) {
-            Verification::Kept => return,
-            Verification::Violated(rule) => ("violated", rule),
-            Verification::Undecided(rule) => ("undecided", rule),
+        let verification = self.invariants.verify_answer(now, deadline);
+        let Some((finding, rule)) = verification.finding() else {
+            return;
         };
         let id = &request.query_request.id;
         let rule = rule.label();
--- a/src/requests/invariants.rs
+++ b/src/requests/invariants.rs
@@ -4,8 +4,8 @@
 //! on, to a server that is draining or gone, or for a client that left; nothing is repeated outside its window; no connection
 //! is closed while a request that was read from it has no answer; no client is served before there is a list. A `check_`
 //! method is called before an act, and counts the act as stopped where it is forbidden; a `verify_` method is called after
-//! an act, and counts a violation, or that the clock readings do not decide whether it was one. This file owns these rules and both counts. It must never act, never read a clock, and
-//! never know a socket.
+//! an act, and counts a violation, or that the clock readings do not decide whether it was one. This file owns these rules and
+//! all counts. It must never act, never read a clock, and never know a socket.
 
 use crate::decisions::api::Effect;
 use crate::endpoints::directory::ServerState;
@@ -118,6 +118,17 @@
     Undecided(Invariant),
 }
 
+impl Verification {
+    /// The word for the log and the rule, unless every rule was kept.
+    pub fn finding(self) -> Option<(&'static str, Invariant)> {
+        match self {
+            Verification::Kept => None,
+            Verification::Violated(rule) => Some(("violated", rule)),
+            Verification::Undecided(rule) => Some(("undecided", rule)),
+        }
+    }
+}
+
 /// The facts about a further attempt of a part.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Repeat {
