--- a/src/endpoints/lease.rs
+++ b/src/endpoints/lease.rs
@@ -212,13 +212,12 @@
                 end,
                 answer_not_before,
             } => {
-                self.missing_answers
-                    .call_ended(end, began_at, answer_not_before, now);
+                self.missing_answers.call_ended(end, answer_not_before, now);
                 self.record_failure(began_at, now);
                 if end != CallEnd::GivenUp {
                     self.first_call_at = None; // one that was given up may still be answered
                 }
-                self.next_call(end)
+                self.next_call(end, now)
             }
             CallOutcome::NotOpened => {
                 self.record_failure(now, now);
@@ -229,14 +228,14 @@
                 answer_arriving_since,
             } => {
                 self.missing_answers
-                    .call_ended(CallEnd::CutOff, now, answer_arriving_since, now);
-                self.next_call(CallEnd::CutOff)
+                    .call_ended(CallEnd::CutOff, answer_arriving_since, now);
+                self.next_call(CallEnd::CutOff, now)
             }
         }
     }
 
-    fn next_call(&self, end: CallEnd) -> NextCall {
-        if self.missing_answers.needs_early_retry(end) {
+    fn next_call(&self, end: CallEnd, now: f64) -> NextCall {
+        if self.missing_answers.needs_early_retry(end, now) {
             NextCall::Early
         } else {
             NextCall::AsScheduled
@@ -284,8 +283,8 @@
     }
 
     /// Whether a call has to be made because an answer of discovery may be missing.
-    pub fn is_answer_missing(&self) -> bool {
-        self.missing_answers.needs_call()
+    pub fn is_answer_missing(&self, now: f64) -> bool {
+        self.missing_answers.needs_call(now)
     }
 
     /// Delay of an early retry (seconds), among `mixers` that call the same discovery; `was_prompt` is whether the call before
@@ -301,9 +300,9 @@
     }
 
     /// Since when discovery may have notified what a list read now says; `looked_at` is when the loop read its sockets before.
-    pub fn notified_since(&self, looked_at: f64) -> f64 {
+    pub fn notified_since(&self, now: f64, looked_at: f64) -> f64 {
         self.missing_answers
-            .notified_since()
+            .since(now)
             .map_or(looked_at, |since| since.min(looked_at))
     }
 
@@ -353,7 +352,7 @@
         if !self.has_discovery {
             return f64::INFINITY;
         }
-        let missing_since = self.missing_answers.since();
+        let missing_since = self.missing_answers.since(now);
         let latest = missing_since.map_or(f64::INFINITY, |since| {
             draining::usable_until(since, self.drain_grace_s)
         });
@@ -365,7 +364,7 @@
         // Calls that may have been answered do not show that discovery is down.
         let is_unconfirmed = self.confirmed_at.is_none();
         let is_usable =
-            !is_unconfirmed || (self.is_hold_over(now) && !self.missing_answers.needs_call());
+            !is_unconfirmed || (self.is_hold_over(now) && !self.missing_answers.needs_call(now));
         let unanswered = self.first_call_at.filter(|at| now >= at + SLOW_CALL_S);
         let unreachable = self
             .failed_call_at
@@ -390,10 +389,10 @@
     }
 
     /// What the lease is based on now.
-    pub fn basis(&self) -> Basis {
+    pub fn basis(&self, now: f64) -> Basis {
         match (self.has_discovery, self.failed_call_at, self.confirmed_at) {
             (false, _, _) => Basis::NoDiscovery,
-            _ if self.missing_answers.needs_call() => Basis::AnswerMissing,
+            _ if self.missing_answers.needs_call(now) => Basis::AnswerMissing,
             (true, Some(_), _) => Basis::Unreachable,
             (true, None, Some(_)) => Basis::Confirmed,
             (true, None, None) => Basis::Unconfirmed,
--- a/src/endpoints/lease/tests.rs
+++ b/src/endpoints/lease/tests.rs
@@ -80,38 +80,21 @@
     );
 }
 
-/// Some calls whose answers may have been lost do not show that discovery is down: the list from before the start is not used for
-/// a grace either, and as late as after other failures.
+/// Calls whose answers may have been lost do not show that discovery is down: the list from before the start is not used
+/// for a grace either.
 #[test]
 fn a_list_from_before_the_start_is_not_acted_on_while_an_answer_is_missing() {
     let mut lease = lease();
-    for index in 0..15 {
+    for index in 0..20 {
         let at = STARTED_AT + 0.1 * f64::from(index);
         let next = fail_with(&mut lease, CallEnd::Reset, at, at);
         assert_eq!(next, NextCall::Early);
         assert!(!lease.is_in_force(at), "{at}");
     }
     assert!(
-        lease.is_in_force(STARTED_AT + 1.5),
+        lease.is_in_force(STARTED_AT + 4.0),
         "discovery was never up"
     );
-    let mut lease = self::lease();
-    for index in 0..6 {
-        let at = STARTED_AT + 0.1 * f64::from(index);
-        let _ = fail_with(&mut lease, CallEnd::Reset, at, at);
-    }
-    assert!(!lease.is_in_force(STARTED_AT + 3.9), "too few calls");
-    let _ = fail_with(
-        &mut lease,
-        CallEnd::CutOff,
-        STARTED_AT + 4.0,
-        STARTED_AT + 4.0,
-    );
-    for index in 0..20 {
-        let at = STARTED_AT + 4.0 + 0.1 * f64::from(index);
-        let _ = fail_with(&mut lease, CallEnd::Reset, at, at);
-        assert!(!lease.is_in_force(at), "an answer was written");
-    }
 }
 
 /// A call that was not answered for long shows more than one that was reset.
@@ -312,7 +295,7 @@
     let mut after = ListLease::new(true, GRACE_S, 5.0); // by another clock
     after.inherit(5.0, handed);
     assert!(after.is_in_force(5.2) && !after.is_in_force(5.31));
-    assert!(after.is_answer_missing());
+    assert!(after.is_answer_missing(5.0));
     confirm_by_call(&mut after, 5.05, 5.1);
     assert!(after.is_in_force(11.0) && !after.is_in_force(11.2));
     let mut own = ListLease::new(true, GRACE_S, 5.0);
--- a/src/endpoints/missing_answers.rs
+++ b/src/endpoints/missing_answers.rs
@@ -10,10 +10,13 @@
 
 use miniserde::{Deserialize, Serialize};
 
-/// A call that ended without a byte may have been answered, or discovery may have gone down. It is presumed down once this many
-/// calls that were made one after the other since then have brought no byte of a list either. A small fleet makes as many in
-/// about the part of the drain grace that is used, and all of them within the grace.
-const PRESUMED_DOWN_CALLS: u32 = 6;
+/// A call that ended without a byte may have been answered, or discovery may have gone down. If no call was answered for this
+/// time, and no other call ended without a byte in another way, discovery is presumed down (seconds). An answer lost just
+/// before a longer outage is then given up, because a mixer that starts during the outage has to be ready within 30 s.
+const PRESUMED_DOWN_S: f64 = 25.0;
+/// The same for a process that discovery has never answered and whose calls were all reset, or all closed, apart from those
+/// that were refused or timed out (seconds). Nine in ten processes restarted in such an outage have to be ready within 10 s.
+const PRESUMED_DOWN_AT_START_S: f64 = 4.0;
 /// After this many refused connections in a row nothing listens there, so that nothing can have been written.
 const DOWN_AFTER_REFUSED_CONNECTIONS: u32 = 2;
 /// The first retries come after this time plus a random share of the spread (seconds). Two retries and the time of an answer
@@ -28,7 +31,7 @@
 /// A call answered without waiting that ended within this time was prompt: discovery has no queue (seconds).
 pub const PROMPT_S: f64 = 0.05;
 /// After this many retries in a row the delay doubles each time.
-const QUICK_RETRIES: u32 = PRESUMED_DOWN_CALLS;
+const QUICK_RETRIES: u32 = 3;
 /// The doubled delay is bounded by the spread, or by this where the spread is shorter (seconds): a small fleet keeps retrying
 /// within the grace.
 const MIN_RETRY_BOUND_S: f64 = 0.12;
@@ -78,19 +81,10 @@
     since: f64,
     /// The answer to a call made from this time on contains what the missing one did.
     noticed_at: f64,
+    /// When a call last ended without a byte in another way than the one before.
+    suspected_at: f64,
     /// Whether it was certainly written.
     is_certain: bool,
-    /// Calls made since, one after the other, that brought no byte of a list.
-    fruitless_calls: u32,
-    /// When the last one of these ended, or the one whose answer is missing.
-    last_ended_at: f64,
-}
-
-impl MissingAnswer {
-    /// Whether discovery is presumed to have been down all the time, so that nothing was written.
-    fn is_presumed_unwritten(&self) -> bool {
-        !self.is_certain && self.fruitless_calls >= PRESUMED_DOWN_CALLS
-    }
 }
 
 /// A missing answer as it is handed to the successor process, in ages, because the two processes share no clock. The field
@@ -114,6 +108,15 @@
     /// Connections refused in a row.
     refused_connections: u32,
     last_end: Option<CallEnd>,
+    /// How the last call ended that ended with a close or reset before a byte.
+    last_silent_end: Option<CallEnd>,
+    /// Whether a close before a byte only shows that discovery is down, until its next answer.
+    closing_means_down: bool,
+    /// Whether a reset before a byte only shows that discovery is down, until its next answer.
+    resetting_means_down: bool,
+    has_answered: bool,
+    /// Whether calls ended both by a close and by a reset, or with a part of an answer.
+    has_mixed_ends: bool,
     lost_count: u64,
 }
 
@@ -123,9 +126,10 @@
         self.arriving_since = since;
     }
 
-    /// Records a call made at `made_at` that ended now without a complete list; its answer, if any, was written at
-    /// `answer_not_before` at the earliest.
-    pub fn call_ended(&mut self, end: CallEnd, made_at: f64, answer_not_before: f64, now: f64) {
+    /// Records a call that ended now without a complete list; its answer, if any, was written at `answer_not_before` at the
+    /// earliest.
+    pub fn call_ended(&mut self, end: CallEnd, answer_not_before: f64, now: f64) {
+        self.forget_presumed_unwritten(now);
         self.lost_count += u64::from(end.may_have_answer());
         if end == CallEnd::CutOff && self.last_end != Some(CallEnd::CutOff) {
             self.early_retries = 0; // discovery is up, however earlier calls ended
@@ -135,28 +139,23 @@
             CallEnd::NotSent => self.refused_connections.saturating_add(1),
             _ => 0,
         };
-        self.count_fruitless(end, made_at, now);
         match end {
-            CallEnd::CutOff => self.record_missing(answer_not_before, now, true),
-            CallEnd::Closed | CallEnd::Reset => self.record_missing(answer_not_before, now, false),
+            CallEnd::CutOff => {
+                self.has_mixed_ends = true;
+                self.record_missing(answer_not_before, now, true);
+            }
+            CallEnd::Closed if self.closing_means_down => {}
+            CallEnd::Reset if self.resetting_means_down => {}
+            CallEnd::Closed | CallEnd::Reset => {
+                self.record_missing(answer_not_before, now, false);
+                self.record_silent_end(end, now);
+            }
             CallEnd::NotSent if self.refused_connections >= DOWN_AFTER_REFUSED_CONNECTIONS => {
                 self.missing = self.missing.filter(|missing| missing.is_certain);
             }
             CallEnd::NotSent | CallEnd::Refused | CallEnd::GivenUp => {}
         }
-        self.early_retries += u32::from(self.needs_early_retry(end));
-    }
-
-    /// Counts a call that brought no byte, if it was made after the one before had ended: calls that were open at the same time may
-    /// have been cut off by one cause.
-    fn count_fruitless(&mut self, end: CallEnd, made_at: f64, now: f64) {
-        let Some(missing) = &mut self.missing else {
-            return;
-        };
-        if end != CallEnd::CutOff && made_at >= missing.last_ended_at {
-            missing.fruitless_calls = missing.fruitless_calls.saturating_add(1);
-            missing.last_ended_at = now;
-        }
+        self.early_retries += u32::from(self.needs_early_retry(end, now));
     }
 
     /// Records that discovery may have notified a change since then that nobody received.
@@ -172,37 +171,38 @@
     /// Records the complete answer to a call made at that time.
     pub fn answered(&mut self, made_at: f64) {
         self.missing = self.missing.filter(|missing| made_at < missing.noticed_at);
+        self.has_answered = true;
         if self.missing.is_none() {
             *self = MissingAnswers {
                 lost_count: self.lost_count,
                 arriving_since: self.arriving_since,
+                has_answered: true,
                 ..MissingAnswers::default()
             };
         }
     }
 
-    /// Since when an answer may be missing or incomplete that stops the use of the list.
-    pub fn since(&self) -> Option<f64> {
+    /// Since when an answer may be missing or incomplete, as of now.
+    pub fn since(&self, now: f64) -> Option<f64> {
         let missing = self
             .missing
-            .filter(|missing| !missing.is_presumed_unwritten());
-        earliest(missing, self.arriving_since)
-    }
-
-    /// Since when discovery may have notified what the next answer says: also where discovery is presumed to have been down.
-    pub fn notified_since(&self) -> Option<f64> {
-        earliest(self.missing, self.arriving_since)
+            .filter(|missing| !self.is_presumed_unwritten(missing, now));
+        missing
+            .map(|missing| missing.since)
+            .into_iter()
+            .chain(self.arriving_since)
+            .reduce(f64::min)
     }
 
     /// Whether a call has to be made because an answer may be missing.
-    pub fn needs_call(&self) -> bool {
+    pub fn needs_call(&self, now: f64) -> bool {
         self.missing
-            .is_some_and(|missing| !missing.is_presumed_unwritten())
+            .is_some_and(|missing| !self.is_presumed_unwritten(&missing, now))
     }
 
     /// Whether a call that ended so is retried before its scheduled time, because an answer is or may be missing.
-    pub fn needs_early_retry(&self, end: CallEnd) -> bool {
-        end.may_have_answer() || self.needs_call()
+    pub fn needs_early_retry(&self, end: CallEnd, now: f64) -> bool {
+        end.may_have_answer() || self.needs_call(now)
     }
 
     /// Delay before a call that ended without an answer is retried early (seconds), among `mixers` that call the same
@@ -234,7 +234,6 @@
             is_certain,
         };
         match self.missing {
-            Some(missing) if missing.is_presumed_unwritten() => None,
             Some(missing) => Some(handed(missing.since, missing.is_certain)),
             None => self.arriving_since.map(|since| handed(since, true)),
         }
@@ -250,20 +249,43 @@
         self.missing = Some(MissingAnswer {
             since: before.map_or(since, |before| before.since.min(since)),
             noticed_at: now,
+            suspected_at: before.map_or(now, |before| before.suspected_at),
             is_certain: is_certain || before.is_some_and(|before| before.is_certain),
-            fruitless_calls: before.map_or(0, |before| before.fruitless_calls),
-            last_ended_at: now,
         });
     }
-}
 
-/// The earlier of the two times.
-fn earliest(missing: Option<MissingAnswer>, arriving_since: Option<f64>) -> Option<f64> {
-    missing
-        .map(|missing| missing.since)
-        .into_iter()
-        .chain(arriving_since)
-        .reduce(f64::min)
+    fn is_presumed_unwritten(&self, missing: &MissingAnswer, now: f64) -> bool {
+        let was_never_up = !self.has_answered && !self.has_mixed_ends;
+        let presumed_after_s = if was_never_up {
+            PRESUMED_DOWN_AT_START_S
+        } else {
+            PRESUMED_DOWN_S
+        };
+        !missing.is_certain && now >= missing.suspected_at + presumed_after_s
+    }
+
+    /// A call that ended in another way than the one before may have been answered: the time until discovery is presumed down
+    /// starts again.
+    fn record_silent_end(&mut self, end: CallEnd, now: f64) {
+        let before = self.last_silent_end.replace(end);
+        let is_other = before != Some(end);
+        self.has_mixed_ends |= is_other && before.is_some();
+        if let Some(missing) = self.missing.as_mut().filter(|_| is_other) {
+            missing.suspected_at = now;
+        }
+    }
+
+    /// Drops an uncertain answer once calls have ended in one way for so long that discovery counts as down.
+    fn forget_presumed_unwritten(&mut self, now: f64) {
+        if self
+            .missing
+            .is_some_and(|missing| self.is_presumed_unwritten(&missing, now))
+        {
+            self.missing = None;
+            self.closing_means_down |= self.last_silent_end == Some(CallEnd::Closed);
+            self.resetting_means_down |= self.last_silent_end == Some(CallEnd::Reset);
+        }
+    }
 }
 
 #[cfg(test)]
--- a/src/endpoints/missing_answers/tests.rs
+++ b/src/endpoints/missing_answers/tests.rs
@@ -12,7 +12,7 @@
     let mut answers = MissingAnswers::default();
     answers.answered(AT);
     for (end, at) in ends {
-        answers.call_ended(*end, *at, *at, *at);
+        answers.call_ended(*end, *at, *at);
     }
     answers
 }
@@ -27,7 +27,7 @@
 fn an_answer_is_missing_by_how_its_call_ended(#[case] end: CallEnd, #[case] since: Option<f64>) {
     let answers = after(&[(end, AT)]);
     assert_eq!(
-        (answers.since(), answers.needs_call()),
+        (answers.since(AT), answers.needs_call(AT)),
         (since, since.is_some())
     );
 }
@@ -36,18 +36,21 @@
 #[test]
 fn an_answer_to_an_earlier_call_does_not_replace_a_lost_one() {
     let mut answers = MissingAnswers::default();
-    answers.call_ended(CallEnd::CutOff, AT, AT, AT + 0.01);
+    answers.call_ended(CallEnd::CutOff, AT, AT + 0.01);
     answers.answered(AT + 0.005);
-    assert_eq!(answers.since(), Some(AT));
-    answers.call_ended(CallEnd::CutOff, AT + 0.1, AT + 0.1, AT + 0.1);
+    assert_eq!(answers.since(AT + 0.1), Some(AT));
+    answers.call_ended(CallEnd::CutOff, AT + 0.1, AT + 0.1);
     answers.answered(AT + 0.05);
     assert_eq!(
-        answers.since(),
+        answers.since(AT + 0.2),
         Some(AT),
         "the first one counts, and the last one has to be replaced"
     );
     answers.answered(AT + 0.1);
-    assert_eq!((answers.since(), answers.needs_call()), (None, false));
+    assert_eq!(
+        (answers.since(AT + 0.2), answers.needs_call(AT + 0.2)),
+        (None, false)
+    );
 }
 
 /// The rest of an answer that has begun to arrive may never be received.
@@ -55,82 +58,71 @@
 fn an_answer_that_arrives_counts_from_its_beginning() {
     let mut answers = MissingAnswers::default();
     answers.set_answer_arriving(Some(AT));
-    assert_eq!((answers.since(), answers.needs_call()), (Some(AT), false));
-    answers.call_ended(CallEnd::CutOff, AT, AT, AT + 0.15);
+    assert_eq!(
+        (answers.since(AT + 1.0), answers.needs_call(AT + 1.0)),
+        (Some(AT), false)
+    );
+    answers.call_ended(CallEnd::CutOff, AT, AT + 0.15);
     answers.set_answer_arriving(None);
-    assert_eq!((answers.since(), answers.needs_call()), (Some(AT), true));
+    assert_eq!(
+        (answers.since(AT + 60.0), answers.needs_call(AT + 60.0)),
+        (Some(AT), true),
+        "for ever"
+    );
 }
 
-/// An outage begins with watches that end. If no call made after that brings a byte, no answer was written.
+/// An outage begins with watches that end. If no call is answered after that, no answer was written.
 #[rstest]
-#[case::connections_refused(CallEnd::NotSent, DOWN_AFTER_REFUSED_CONNECTIONS)]
-#[case::closed(CallEnd::Closed, PRESUMED_DOWN_CALLS)]
-#[case::reset(CallEnd::Reset, PRESUMED_DOWN_CALLS)]
-#[case::refused(CallEnd::Refused, PRESUMED_DOWN_CALLS)]
-#[case::not_answered(CallEnd::GivenUp, PRESUMED_DOWN_CALLS)]
-fn a_discovery_that_is_down_has_written_nothing(#[case] end: CallEnd, #[case] calls: u32) {
+#[case::connections_refused(CallEnd::NotSent, 0.5)]
+#[case::closed_without_a_byte(CallEnd::Closed, PRESUMED_DOWN_S)]
+#[case::refused(CallEnd::Refused, PRESUMED_DOWN_S)]
+#[case::not_answered(CallEnd::GivenUp, PRESUMED_DOWN_S)]
+fn a_discovery_that_is_down_has_written_nothing(
+    #[case] way: CallEnd,
+    #[case] presumed_after_s: f64,
+) {
     let mut answers = after(&[(CallEnd::Closed, AT)]);
-    for call in 1..=calls {
-        assert_eq!(answers.since(), Some(AT), "before call {call}");
-        let at = AT + f64::from(call) * 0.1;
-        answers.call_ended(end, at, at, at);
-    }
-    assert_eq!((answers.since(), answers.needs_call()), (None, false));
-    for other in [CallEnd::Closed, CallEnd::Reset, CallEnd::Refused] {
-        answers.call_ended(other, AT + 5.0, AT + 5.0, AT + 5.0);
-        let is_new = end == CallEnd::NotSent;
-        assert_eq!(answers.since().is_some(), is_new, "after {other:?}");
-    }
-    answers.call_ended(CallEnd::CutOff, AT + 6.0, AT + 6.0, AT + 6.0);
-    assert!(answers.since().is_some(), "but it is back");
-}
-
-/// Calls that end in different ways in turns, as in an outage, are counted alike; after an answer they count anew.
-#[test]
-fn ends_of_different_kinds_show_an_outage_together() {
-    let kinds = [CallEnd::Closed, CallEnd::Refused, CallEnd::Reset];
-    let mut answers = after(&[(CallEnd::Reset, AT)]);
-    for end in kinds.into_iter().cycle().take(PRESUMED_DOWN_CALLS as usize) {
-        assert_eq!(answers.since(), Some(AT));
-        answers.call_ended(end, AT + 0.1, AT + 0.1, AT + 0.1);
-    }
-    assert_eq!(answers.since(), None);
-    answers.answered(AT + 0.4);
-    answers.call_ended(CallEnd::Reset, AT + 0.5, AT + 0.5, AT + 0.5);
-    assert_eq!(answers.since(), Some(AT + 0.5));
-}
-
-/// One cause may end all calls that are open: only calls made one after the other show that discovery is down.
-#[test]
-fn calls_that_were_open_together_show_no_outage() {
-    let mut answers = after(&[(CallEnd::Closed, AT)]);
-    for made_at in [-2.0, -1.0, -0.5, -0.3, -0.2, -0.1, -0.01].map(|ago_s| AT + ago_s) {
-        answers.call_ended(CallEnd::Reset, made_at, AT, AT);
-    }
-    assert_eq!(answers.since(), Some(AT));
-    for _ in 0..10 {
-        answers.call_ended(CallEnd::Refused, AT + 0.1, AT + 0.2, AT + 0.2);
+    let mut ended_at = AT;
+    while answers.needs_call(ended_at) {
+        assert!(ended_at < AT + 30.0, "never presumed");
+        ended_at += 0.25;
+        answers.call_ended(way, ended_at, ended_at);
     }
+    assert_eq!(ended_at, AT + presumed_after_s);
+    answers.call_ended(way, ended_at + 1.0, ended_at + 1.0);
     assert_eq!(
-        answers.since(),
-        Some(AT),
-        "a call and those beside it count once"
+        answers.since(ended_at + 1.0),
+        None,
+        "another end of the same kind changes nothing"
+    );
+    answers.call_ended(CallEnd::CutOff, ended_at + 2.0, ended_at + 2.0);
+    assert_eq!(
+        answers.since(ended_at + 2.0),
+        Some(ended_at + 2.0),
+        "but it is back"
     );
 }
 
-/// What an answer takes out of use after an outage was so since the first answer that may be missing; until then the retries stay
-/// early, because an answer at the end of the outage may be lost as well.
+/// In an outage calls end with 503 or a reset, as the protocol has it: its resets are presumed unanswered once. An end of
+/// another kind, or any end after an answer, may again stand for a lost answer.
 #[test]
-fn the_first_answer_after_an_outage_dates_from_its_beginning() {
-    let ends = [0.0, 0.1, 0.2, 0.3, 0.4, 0.5, 30.0].map(|after_s| (CallEnd::Closed, AT + after_s));
-    let mut answers = after(&ends);
-    assert_eq!(
-        (answers.since(), answers.notified_since()),
-        (None, Some(AT))
-    );
-    assert!(answers.needs_early_retry(CallEnd::Closed) && answers.hand_over(AT).is_none());
-    answers.answered(AT + 30.1);
-    assert_eq!(answers.notified_since(), None);
+fn resets_of_an_outage_are_presumed_once() {
+    let mut answers = after(&[
+        (CallEnd::Reset, AT),
+        (CallEnd::Refused, AT + PRESUMED_DOWN_S),
+    ]);
+    for round in 1..20 {
+        let at = AT + PRESUMED_DOWN_S + f64::from(round);
+        answers.call_ended(CallEnd::Reset, at, at);
+        assert_eq!(answers.since(at), None);
+        answers.call_ended(CallEnd::Refused, at + 0.5, at + 0.5);
+    }
+    let mut closed = answers;
+    closed.call_ended(CallEnd::Closed, AT + 60.0, AT + 60.0);
+    assert_eq!(closed.since(AT + 60.0), Some(AT + 60.0));
+    answers.answered(AT + 60.0);
+    answers.call_ended(CallEnd::Reset, AT + 61.0, AT + 61.0);
+    assert_eq!(answers.since(AT + 61.0), Some(AT + 61.0));
 }
 
 /// Only an answer replaces one that was certainly written.
@@ -143,9 +135,8 @@
         refused,
         refused,
         (CallEnd::Refused, AT + 20.0),
-        (CallEnd::Reset, AT + 21.0),
     ]);
-    assert_eq!(answers.since(), Some(AT));
+    assert_eq!(answers.since(AT + 100.0), Some(AT));
 }
 
 /// Two retries fit into the grace even with the largest jitter; those of a fleet are spread.
@@ -178,9 +169,9 @@
     let before = after(&[(CallEnd::CutOff, AT)]);
     let mut next = MissingAnswers::default();
     next.inherit(5.0, before.hand_over(AT + 0.25).expect("one is missing"));
-    assert_eq!(next.since(), Some(4.75));
+    assert_eq!(next.since(5.0), Some(4.75));
     next.answered(5.0);
-    assert_eq!((next.since(), next.hand_over(5.0)), (None, None));
+    assert_eq!((next.since(5.0), next.hand_over(5.0)), (None, None));
 }
 
 /// A change that counts as notified while the process was stopped is certain.
@@ -188,10 +179,54 @@
 fn a_change_notified_while_the_process_was_stopped_stays_missing() {
     let mut answers = MissingAnswers::default();
     answers.change_missed(AT, AT + 2.0);
-    for _ in 0..10 {
-        answers.call_ended(CallEnd::NotSent, AT + 2.0, AT + 2.0, AT + 2.0);
-    }
-    assert_eq!(answers.since(), Some(AT));
+    answers.call_ended(CallEnd::NotSent, AT + 2.0, AT + 2.0);
+    answers.call_ended(CallEnd::NotSent, AT + 2.0, AT + 2.0);
+    assert_eq!(answers.since(AT + 60.0), Some(AT));
     answers.answered(AT + 2.0);
-    assert_eq!(answers.since(), None);
+    assert_eq!(answers.since(AT + 60.0), None);
+}
+
+/// Of calls that end in two ways by turns some may have been answered.
+#[test]
+fn an_end_of_another_kind_restarts_the_presumption() {
+    let ends = [
+        (CallEnd::Closed, AT),
+        (CallEnd::Reset, AT + 1.0),
+        (CallEnd::Reset, AT + 2.0),
+    ];
+    let mut answers = after(&ends);
+    assert_eq!(answers.since(AT + 0.9 + PRESUMED_DOWN_S), Some(AT));
+    assert_eq!(answers.since(AT + 1.0 + PRESUMED_DOWN_S), None);
+    answers.call_ended(CallEnd::Closed, AT + 3.0, AT + 3.0);
+    assert_eq!(answers.since(AT + 2.9 + PRESUMED_DOWN_S), Some(AT));
+}
+
+/// A mixer that starts while each call is closed or reset serves by the list that it has: discovery was never up.
+#[rstest]
+#[case(CallEnd::Closed)]
+#[case(CallEnd::Reset)]
+fn a_discovery_that_never_answered_is_presumed_down_soon(#[case] end: CallEnd) {
+    let mut answers = MissingAnswers::default();
+    for call in 0..39 {
+        let at = AT + 0.1 * f64::from(call);
+        answers.call_ended(end, at, at);
+        assert_eq!(answers.since(at), Some(AT));
+    }
+    answers.call_ended(CallEnd::Refused, AT + 3.9, AT + 3.9);
+    answers.call_ended(CallEnd::GivenUp, AT + 3.9, AT + 3.9);
+    let other_end = if end == CallEnd::Closed {
+        CallEnd::Reset
+    } else {
+        CallEnd::Closed
+    };
+    for other in [other_end, CallEnd::CutOff] {
+        let mut mixed = answers;
+        mixed.call_ended(other, AT + 3.95, AT + 3.95);
+        assert_eq!(
+            mixed.since(AT + 10.0),
+            Some(AT),
+            "the first ones may have been answered"
+        );
+    }
+    assert_eq!(answers.since(AT + PRESUMED_DOWN_AT_START_S), None);
 }
--- a/src/net/discovery/answers.rs
+++ b/src/net/discovery/answers.rs
@@ -559,7 +559,7 @@
     /// Closes an open watch if an answer is missing: a watch opened before brings only what comes after, so that another call
     /// takes its place.
     fn abandon_old_watch(&mut self, runtime: &mut Runtime) {
-        if !self.lease.is_answer_missing() {
+        if !self.lease.is_answer_missing(runtime.now) {
             return;
         }
         let open_watch = self.link.watch.filter(|_| self.link.is_watch_open(runtime));
--- a/src/net/discovery/calls.rs
+++ b/src/net/discovery/calls.rs
@@ -64,7 +64,7 @@
             runtime.timers.add(until, Deadline::CallDiscovery);
             return Step::Wait;
         }
-        let is_answer_missing = self.lease.is_answer_missing();
+        let is_answer_missing = self.lease.is_answer_missing(runtime.now);
         if !is_answer_missing && self.link.check.is_reopening_later(runtime.now) {
             return Step::Wait;
         }
@@ -130,7 +130,7 @@
     /// nothing is sent by the list then, and another call could cost a crowded discovery's turn of the open one.
     pub(super) fn mixers_calling_again(&self, runtime: &Runtime) -> Option<u32> {
         let sharers = fleet_of(&runtime.deployment.policy).sharers();
-        (!self.lease.is_answer_missing()).then_some(sharers)
+        (!self.lease.is_answer_missing(runtime.now)).then_some(sharers)
     }
 
     fn plan_check(&self, key: ConnectionKey, since: u64) -> Step {
@@ -146,7 +146,7 @@
         let Some(since) = self.revision else {
             return self.plan_opening(runtime, key, Call::WholeList);
         };
-        if self.lease.is_answer_missing() {
+        if self.lease.is_answer_missing(runtime.now) {
             return self.call_for_changes(runtime, key);
         }
         let times = self.link.check.watch_times(runtime);
@@ -242,7 +242,7 @@
 
     /// Schedules an early retry if an answer may be missing.
     pub(super) fn retry_for_missing_answer(&mut self, runtime: &mut Runtime) {
-        if self.lease.is_answer_missing() {
+        if self.lease.is_answer_missing(runtime.now) {
             self.retry_early(runtime, false);
         }
     }
--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -141,7 +141,9 @@
         runtime
             .coordinator
             .update_endpoints(runtime.now, is_full, entries, &mut runtime.commands);
-        let notified_since = self.lease.notified_since(runtime.previous_turn_at);
+        let notified_since = self
+            .lease
+            .notified_since(runtime.now, runtime.previous_turn_at);
         runtime.directory.date_unready(notified_since);
     }
 
--- a/src/net/discovery/lease.rs
+++ b/src/net/discovery/lease.rs
@@ -55,7 +55,7 @@
             .list_lease(now, lease.until(now), &mut runtime.commands);
         self.log(runtime, lease, revision);
         let next_at = lease.next_check_at(now);
-        if lease.basis() != Basis::NoDiscovery && Some(next_at) != self.check_at {
+        if lease.basis(now) != Basis::NoDiscovery && Some(next_at) != self.check_at {
             self.check_at = Some(next_at);
             runtime.timers.add(next_at, Deadline::ListLease);
         }
@@ -65,7 +65,7 @@
     fn log(&mut self, runtime: &mut Runtime, lease: &ListLease, revision: Option<u64>) {
         let now = runtime.now;
         let state = LeaseState {
-            basis: lease.basis(),
+            basis: lease.basis(now),
             is_in_force: lease.is_in_force(now),
         };
         if state == self.logged {
--- a/tests/discovery_outages.rs
+++ b/tests/discovery_outages.rs
@@ -227,7 +227,8 @@
         .collect()
 }
 
-/// Since a191bf8 a call that ended without a byte stopped the service until the next answer, for up to 25 s.
+/// Since a191bf8 a call that ended without a byte stopped the service until the next answer, for up to 25 s; where ends came in
+/// turns, until discovery was back.
 #[test]
 fn an_outage_by_resets_without_news_stops_no_service() {
     let failed = failures(
