--- a/src/endpoints/watch_schedule/tests.rs
+++ b/src/endpoints/watch_schedule/tests.rs
@@ -77,13 +77,19 @@
     let mut calls = 0;
     for step in 0..(length_s * 100.0) as u32 {
         let now = f64::from(step) / 100.0;
-        while let Some((since, key)) = queue.pop_front_if(|(since, _)| free_at.max(*since) <= now) {
+        while let Some((since, key)) = queue
+            .front()
+            .copied()
+            .filter(|(since, _)| free_at.max(*since) <= now)
+        {
+            queue.pop_front();
             free_at = free_at.max(since) + turn_s;
             if let Some(index) = open.remove(key) {
                 notified[index].get_or_insert(free_at);
             }
         }
-        while let Some((_, key)) = overdue.pop_front_if(|(at, _)| *at <= now) {
+        while let Some((_, key)) = overdue.front().copied().filter(|(at, _)| *at <= now) {
+            overdue.pop_front();
             let Some(index) = open
                 .get(key)
                 .copied()
