Name the errors that pass in one place

The retry at the start had a list of bare numbers that held ENFILE and EMFILE a second time; eviction knew them by name. Both ask net/socket.rs now.

--- a/src/net/client/eviction.rs
+++ b/src/net/client/eviction.rs
@@ -7,12 +7,7 @@
 use crate::net::connection_table::Connection;
 use crate::net::ConnectionKey;
 use slotmap::SlotMap;
-use std::io;
 
-/// No descriptor is left in the system (Linux).
-const ENFILE: i32 = 23;
-/// No descriptor is left in the process (Linux).
-const EMFILE: i32 = 24;
 /// A last response that was written less than this ago may still be on its way.
 const MIN_LINGER_S: f64 = 0.25;
 /// A client that connected, or began to send, less than this ago is evicted last.
@@ -78,10 +73,5 @@
     }
 }
 
-/// Whether a system call failed for want of descriptors, of this process or of the system.
-pub(super) fn is_out_of_descriptors(error: &io::Error) -> bool {
-    matches!(error.raw_os_error(), Some(EMFILE | ENFILE))
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/client/eviction/tests.rs
+++ b/src/net/client/eviction/tests.rs
@@ -74,13 +74,3 @@
     ];
     assert!(eviction_order(&setups, EvictionRank::Fresh, 10.0).is_empty());
 }
-
-#[test]
-fn only_a_want_of_descriptors_counts_as_one() {
-    assert!(is_out_of_descriptors(&io::Error::from_raw_os_error(EMFILE)));
-    assert!(is_out_of_descriptors(&io::Error::from_raw_os_error(ENFILE)));
-    let out_of_memory = 12;
-    assert!(!is_out_of_descriptors(&io::Error::from_raw_os_error(
-        out_of_memory
-    )));
-}
--- a/src/net/client/routing.rs
+++ b/src/net/client/routing.rs
@@ -6,13 +6,14 @@
 //! [`ClientConnections`]: crate::net::client::connections::ClientConnections
 
 use crate::net::client::connections::{ClientEvent, ServingConditions};
-use crate::net::client::eviction::{find_candidate, is_out_of_descriptors, EvictionRank};
+use crate::net::client::eviction::{find_candidate, EvictionRank};
 use crate::net::client::opensearch::SearchContext;
 use crate::net::client::pages::Page;
 use crate::net::client::platform;
 use crate::net::client::writing::log_unanswered;
 use crate::net::event_loop::{Mixer, TurnEvents, ACCEPT_AGAIN_S};
 use crate::net::http::{self, Message, Start};
+use crate::net::socket::is_out_of_descriptors;
 use crate::net::timer_queue::Deadline;
 use crate::net::tokens::{connection_key, token};
 use crate::net::ConnectionKey;
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -14,8 +14,12 @@
 const START_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// So often, some 2 s in all.
 const MAX_START_RETRIES: u32 = 100;
-/// Errors of a system that is short of something for now: EINTR, EAGAIN, ENOMEM, ENFILE, EMFILE, ENOBUFS on Linux.
-const TRANSIENT_ERRORS: [i32; 6] = [4, 11, 12, 23, 24, 105];
+/// No descriptor is left in the system (Linux).
+const ENFILE: i32 = 23;
+/// No descriptor is left in the process (Linux).
+const EMFILE: i32 = 24;
+/// No buffer space is left (Linux).
+const ENOBUFS: i32 = 105;
 
 /// Opens a socket at the start of the process, before its loop runs: again for a while where the system is short of descriptors or
 /// memory. Any other error is returned at once.
@@ -29,10 +33,17 @@
     open()
 }
 
+/// Whether a system call failed that may succeed soon.
 fn is_transient(error: &io::Error) -> bool {
-    error
-        .raw_os_error()
-        .is_some_and(|code| TRANSIENT_ERRORS.contains(&code))
+    use io::ErrorKind::{Interrupted, OutOfMemory, WouldBlock};
+    is_out_of_descriptors(error)
+        || error.raw_os_error() == Some(ENOBUFS)
+        || matches!(error.kind(), Interrupted | OutOfMemory | WouldBlock)
+}
+
+/// Whether a system call failed for want of descriptors, of this process or of the system.
+pub(super) fn is_out_of_descriptors(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(EMFILE | ENFILE))
 }
 
 /// Listens on an address, and has the poll watch for connections. To be called at the start of the process.
