Let the tests against stand-ins share their start, their plays and their client

failures stood three times, the client that asks all the time twice, the start of a serving program six times.

--- a/tests/discovery_outages.rs
+++ b/tests/discovery_outages.rs
@@ -3,11 +3,12 @@
 
 mod stand_ins;
 
-use stand_ins::{discovery, list, Asked, Client, Cut, LeafServer, Program, Reply, Setup};
-use std::net::SocketAddr;
+use stand_ins::{
+    ask_for, discovery, failures, list, Asked, Client, Cut, LeafServer, Program, Reply, Setup,
+    QUERY_INTERVAL,
+};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// Between the first answer to a client and the outage.
@@ -15,8 +16,6 @@
 const OUTAGE: Duration = Duration::from_secs(12);
 /// How long clients ask after the outage.
 const AFTERWARDS: Duration = Duration::from_secs(2);
-/// Between two queries of a client.
-const QUERY_INTERVAL: Duration = Duration::from_millis(10);
 /// How often a watch looks whether discovery has gone.
 const WATCH_INTERVAL: Duration = Duration::from_millis(5);
 /// Of all queries at most this share is not served in an outage.
@@ -151,64 +150,28 @@
     }
 }
 
-/// When each query was answered, and whether it was served.
-fn ask_for(address: SocketAddr, time: Duration) -> Vec<(Instant, bool)> {
-    let mut client = Client::connect(address);
-    let until = Instant::now() + time;
-    let mut answers = Vec::new();
-    while Instant::now() < until {
-        let is_served = client.query() == 200;
-        answers.push((Instant::now(), is_served));
-        std::thread::sleep(QUERY_INTERVAL);
-    }
-    answers
-}
-
 /// The longest time in which no query was served.
-fn longest_gap(answers: &[(Instant, bool)]) -> Duration {
-    let served: Vec<Instant> = answers
-        .iter()
-        .filter_map(|(at, is_served)| is_served.then_some(*at))
-        .collect();
-    let gaps = served.windows(2).map(|pair| pair[1] - pair[0]);
+fn longest_gap(served_at: &[Instant]) -> Duration {
+    let gaps = served_at.windows(2).map(|pair| pair[1] - pair[0]);
     gaps.max().unwrap_or(Duration::MAX)
 }
 
 /// What was not served in an outage, if that is too much.
 fn not_served(case: Case) -> Option<String> {
     let deployment = Deployment::new(case);
-    let program = Program::start(&deployment.setup);
-    let address = program.await_address();
-    program.await_log("ready: serving");
+    let (_program, address) = Program::start_serving(&deployment.setup);
     ask_for(address, QUIET);
     deployment.registry.set_away(true);
-    let mut answers = ask_for(address, OUTAGE);
+    let away = ask_for(address, OUTAGE);
     deployment.registry.set_away(false);
-    answers.extend(ask_for(address, AFTERWARDS));
+    let back = ask_for(address, AFTERWARDS);
     assert!(!deployment.server.calls().is_empty());
-    let count = answers.iter().filter(|(_, is_served)| !is_served).count();
-    let is_too_much = count as f64 > MAX_NOT_SERVED * answers.len() as f64;
-    let gap = longest_gap(&answers);
-    (is_too_much || gap >= Duration::from_secs(1)).then(|| {
-        format!(
-            "{case:?}: {count} of {} not served, {gap:?} without service",
-            answers.len()
-        )
-    })
-}
-
-/// Plays all cases side by side; those that went wrong.
-fn failures<C: Send + 'static>(cases: Vec<C>, play: fn(C) -> Option<String>) -> Vec<String> {
-    let plays: Vec<_> = cases
-        .into_iter()
-        .map(|case| std::thread::spawn(move || play(case)))
-        .collect();
-    // All have ended before one that panicked ends the test: a program ends with its play.
-    let ended: Vec<_> = plays.into_iter().map(JoinHandle::join).collect();
-    ended
-        .into_iter()
-        .filter_map(|result| result.expect("a play that ends"))
-        .collect()
+    let asked = away.asked + back.asked;
+    let not_served = asked - away.served - back.served;
+    let is_too_much = f64::from(not_served) > MAX_NOT_SERVED * f64::from(asked);
+    let gap = longest_gap(&[away.served_at, back.served_at].concat());
+    (is_too_much || gap >= Duration::from_secs(1))
+        .then(|| format!("{not_served} of {asked} not served, {gap:?} without service"))
 }
 
 fn cases(fleets: &[u32], modes: &[&'static str]) -> Vec<Case> {
@@ -248,12 +211,12 @@
     let mut client = Client::connect(address);
     while client.query() != 200 {
         if Instant::now() > until {
-            return Some(format!("{case:?}: never"));
+            return Some("never".to_string());
         }
         std::thread::sleep(QUERY_INTERVAL);
     }
     let took = program.started_at.elapsed();
-    (took > START_WITHIN).then(|| format!("{case:?}: after {took:?}"))
+    (took > START_WITHIN).then(|| format!("after {took:?}"))
 }
 
 /// A mixer that is restarted while discovery is away serves by the list that it has.
@@ -281,9 +244,7 @@
         unreachable!("a list")
     };
     let registry = &deployment.registry;
-    let program = Program::start(&deployment.setup);
-    let address = program.await_address();
-    program.await_log("ready: serving");
+    let (_program, address) = Program::start_serving(&deployment.setup);
     ask_for(address, QUIET);
     assert!(!drained.calls().is_empty(), "it serves before");
     registry.set_away(!notice.outage_length.is_zero());
@@ -295,7 +256,7 @@
         notified_at: None,
     });
     registry.set_away(false);
-    let answers = ask_for(address, DRAIN_OBSERVED);
+    let serves = ask_for(address, DRAIN_OBSERVED).served_last;
     let notified_at = registry
         .drain
         .lock()
@@ -305,14 +266,9 @@
         .expect("it was asked");
     let late = |at: Instant| at.saturating_duration_since(notified_at).checked_sub(GRACE);
     let late: Vec<Duration> = drained.calls().into_iter().filter_map(late).collect();
-    let serves = answers.last().is_some_and(|(_, is_served)| *is_served);
     let latest = late.iter().max();
-    (!late.is_empty() || !serves).then(|| {
-        format!(
-            "{notice:?}: {} late, up to {latest:?}, serves: {serves}",
-            late.len()
-        )
-    })
+    (!late.is_empty() || !serves)
+        .then(|| format!("{} late, up to {latest:?}, serves: {serves}", late.len()))
 }
 
 /// The opposite rule: that a discovery is presumed to be away must not cost a notice, before an outage is seen or at its end.
--- a/tests/lost_answers.rs
+++ b/tests/lost_answers.rs
@@ -3,7 +3,7 @@
 
 mod stand_ins;
 
-use stand_ins::{ask_for, discovery, list, Cut, LeafServer, Program, Reply, Setup};
+use stand_ins::{ask_for, discovery, failures, list, Cut, LeafServer, Program, Reply, Setup};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -153,14 +153,12 @@
     let registry = Arc::new(Registry::default());
     let (shared, known) = (registry.clone(), Some(before.clone()));
     let address = discovery(move |asked| shared.reply(&case, asked, &before, &after));
-    let program = Program::start(&Setup {
+    let (_program, clients_at) = Program::start_serving(&Setup {
         mixers: case.mixers,
         mode: case.mode,
         discovery: address,
         known,
     });
-    let clients_at = program.await_address();
-    program.await_log("ready: serving");
     let quiet = ask_for(clients_at, QUIET);
     assert_eq!(quiet.served, quiet.asked, "{case:?}: nothing is wrong yet");
     if case.outage != Outage::None {
@@ -180,26 +178,16 @@
     }
 }
 
-/// Plays them side by side; each that went wrong, in words.
-fn failures(cases: &[Case]) -> Vec<String> {
-    let start = |case: &Case| {
-        let case = *case;
-        (case, std::thread::spawn(move || play(case)))
-    };
-    let plays: Vec<_> = cases.iter().map(start).collect();
-    let ended = plays
-        .into_iter()
-        .map(|(case, thread)| (case, thread.join().expect("a play that ends")));
-    ended
-        .filter(|(_, play)| !play.late.is_empty() || !play.serves)
-        .map(|(case, Play { late, serves })| {
-            format!(
-                "{case:?}: {} late calls, up to {:?}, serves {serves}",
-                late.len(),
-                late.iter().max()
-            )
-        })
-        .collect()
+/// What went wrong with a case, in words.
+fn failure(case: Case) -> Option<String> {
+    let Play { late, serves } = play(case);
+    (!late.is_empty() || !serves).then(|| {
+        format!(
+            "{} late calls, up to {:?}, serves {serves}",
+            late.len(),
+            late.iter().max()
+        )
+    })
 }
 
 /// Incident 2: the answer that tells of the drain is cut off, once or some times in a row, at any place; its connection ends,
@@ -227,7 +215,7 @@
         Case::new(300, Cut::HalfThenSilence, 2),
         Case::new(4, Cut::HalfThenSilence, 1).pushed(),
     ];
-    let failed = failures(&cases);
+    let failed = failures(cases, failure);
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
@@ -248,6 +236,6 @@
         Case::new(4, Cut::NoByte, 2).after(Outage::Resets).pushed(),
         Case::new(4, Cut::HalfThenSilence, 1).after(Outage::Refuses),
     ];
-    let failed = failures(&cases);
+    let failed = failures(cases, failure);
     assert!(failed.is_empty(), "{failed:#?}");
 }
--- a/tests/overdue_calls.rs
+++ b/tests/overdue_calls.rs
@@ -5,7 +5,7 @@
 
 use rstest::rstest;
 use stand_ins::{
-    ask_for, discovery, discovery_until, list, Asked, LeafServer, Program, Reply, Setup,
+    ask_for, discovery, discovery_until, failures, list, Asked, LeafServer, Program, Reply, Setup,
 };
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -149,15 +149,12 @@
     discovery: SocketAddr,
     known: String,
 ) -> (Program, SocketAddr) {
-    let program = Program::start(&Setup {
+    Program::start_serving(&Setup {
         mixers,
         mode,
         discovery,
         known: Some(known),
-    });
-    let clients_at = program.await_address();
-    program.await_log("ready: serving");
-    (program, clients_at)
+    })
 }
 
 /// A mixer whose client asks all the time; gives how late after the note calls came to the server that drains.
@@ -188,21 +185,6 @@
     drained.calls().into_iter().filter_map(late).collect()
 }
 
-/// Plays all cases side by side; those that went wrong.
-fn failures<C: Copy + Send + std::fmt::Debug + 'static>(
-    cases: impl IntoIterator<Item = C>,
-    play: impl Fn(C) -> Option<String> + Copy + Send + 'static,
-) -> Vec<String> {
-    let start = |case: C| (case, std::thread::spawn(move || play(case)));
-    let plays: Vec<_> = cases.into_iter().map(start).collect();
-    let ended = plays
-        .into_iter()
-        .map(|(case, thread)| (case, thread.join().expect("a play that ends")));
-    ended
-        .filter_map(|(case, failure)| Some(format!("{case:?}: {}", failure?)))
-        .collect()
-}
-
 /// The calls that came late, in words.
 fn describe(late: &[Duration]) -> Option<String> {
     let latest = late.iter().max()?;
--- a/tests/stale_list.rs
+++ b/tests/stale_list.rs
@@ -195,9 +195,7 @@
         discovery: address,
         known: Some(known),
     };
-    let program = Program::start(&setup);
-    let address = program.await_address();
-    program.await_log("ready: serving");
+    let (program, address) = Program::start_serving(&setup);
     let mut clients: Vec<Client> = (0..2).map(|_| Client::connect(address)).collect();
     for client in &mut clients {
         client.send_query();
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -20,7 +20,7 @@
 /// How often a stand-in that may end looks for connections.
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
 /// How long a client that asks one thing after the other rests between two.
-const QUERY_INTERVAL: Duration = Duration::from_millis(10);
+pub const QUERY_INTERVAL: Duration = Duration::from_millis(10);
 /// The line of a list for a server that nobody listens for.
 pub const UNREACHABLE_SERVER: &str =
     r#"{"id":"s0","host_port":"127.0.0.1:1","cell":0,"phase":"Ready","up_since_ms":0}"#;
@@ -237,6 +237,14 @@
         }
     }
 
+    /// Starts it, and waits until it serves. Gives where it listens for clients, too.
+    pub fn start_serving(setup: &Setup) -> (Program, SocketAddr) {
+        let program = Program::start(setup);
+        let address = program.await_address();
+        program.await_log("ready: serving");
+        (program, address)
+    }
+
     /// Sends it a signal, by its name without SIG.
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill")
@@ -470,6 +478,8 @@
 pub struct Served {
     pub asked: u32,
     pub served: u32,
+    /// When each of these was.
+    pub served_at: Vec<Instant>,
     /// Whether the last one was.
     pub served_last: bool,
 }
@@ -482,8 +492,32 @@
     while Instant::now() < until {
         served.served_last = client.query() == 200;
         served.asked += 1;
-        served.served += u32::from(served.served_last);
+        if served.served_last {
+            served.served += 1;
+            served.served_at.push(Instant::now());
+        }
         std::thread::sleep(QUERY_INTERVAL);
     }
     served
 }
+
+/// Plays all cases side by side; those that went wrong, with what `play` says of them.
+pub fn failures<C: Copy + Send + std::fmt::Debug + 'static>(
+    cases: impl IntoIterator<Item = C>,
+    play: impl Fn(C) -> Option<String> + Copy + Send + 'static,
+) -> Vec<String> {
+    let start = |case: C| (case, std::thread::spawn(move || play(case)));
+    let plays: Vec<_> = cases.into_iter().map(start).collect();
+    // All have ended before one that panicked ends the test: a program ends with its play.
+    let ended: Vec<_> = plays
+        .into_iter()
+        .map(|(case, play)| (case, play.join()))
+        .collect();
+    ended
+        .into_iter()
+        .filter_map(|(case, result)| {
+            let failure = result.expect("a play that ends")?;
+            Some(format!("{case:?}: {failure}"))
+        })
+        .collect()
+}
--- a/tests/standstill.rs
+++ b/tests/standstill.rs
@@ -49,14 +49,12 @@
         Some((_, wait)) if wait > 0 => Reply::Nothing,
         _ => list(1, true, &lines),
     });
-    let program = Program::start(&Setup {
+    let (program, clients_at) = Program::start_serving(&Setup {
         mixers: 1,
         mode: "subscribe",
         discovery: address,
         known: Some(known),
     });
-    let clients_at = program.await_address();
-    program.await_log("ready: serving");
     let is_over = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|_| {
