One start of the model fleet, and a name that says which call is closed

The two plays of the watch schedule's tests made their fleet alike; add_overdue called the surplus call the oldest, which it is no longer.

--- a/src/endpoints/watch_schedule/tests.rs
+++ b/src/endpoints/watch_schedule/tests.rs
@@ -7,15 +7,21 @@
 use slotmap::SlotMap;
 use std::collections::VecDeque;
 
+/// The schedules of a fleet whose mixers all start now, each with a list from before.
+fn start_fleet(mixers: u32, rng: &mut Rand64) -> Vec<WatchSchedule> {
+    let start = |_| {
+        let mut schedule = WatchSchedule::new(mixers, 10.0, 0.0);
+        schedule.list_received(0.0, rng.rand_float());
+        schedule
+    };
+    (0..mixers).map(start).collect()
+}
+
 /// A discovery that answers calls in turn, each for `turn_s`, and fails those that waited for 2 s, which costs it next to nothing.
 /// One that is down fails calls after as long. Gives when each mixer was notified, and how many calls were made in all.
 fn play(mixers: u32, turn_s: f64, down_until: f64, length_s: f64) -> (Vec<Option<f64>>, usize) {
     let mut rng = Rand64::new(5);
-    let mut all: Vec<WatchSchedule> = (0..mixers)
-        .map(|_| WatchSchedule::new(mixers, 10.0, 0.0))
-        .collect();
-    all.iter_mut()
-        .for_each(|schedule| schedule.list_received(0.0, rng.rand_float()));
+    let mut all = start_fleet(mixers, &mut rng);
     let mut notified = vec![None; mixers as usize];
     let mut free_at = 0.0f64;
     let mut calls = 0;
@@ -59,16 +65,9 @@
 /// them meanwhile. Mixers leave overdue calls open. Gives when each mixer was notified, and how many calls were made in all.
 fn play_with_open_calls(mixers: u32, turn_s: f64, length_s: f64) -> (Vec<Option<f64>>, usize) {
     let mut rng = Rand64::new(5);
-    let mut all: Vec<(WatchSchedule, OverdueCalls)> = (0..mixers)
-        .map(|_| {
-            (
-                WatchSchedule::new(mixers, 10.0, 0.0),
-                OverdueCalls::default(),
-            )
-        })
-        .collect();
-    all.iter_mut()
-        .for_each(|(schedule, _)| schedule.list_received(0.0, rng.rand_float()));
+    let mut all = start_fleet(mixers, &mut rng);
+    let mut overdue_calls: Vec<OverdueCalls> =
+        (0..mixers).map(|_| OverdueCalls::default()).collect();
     let mut notified = vec![None; mixers as usize];
     let mut open: SlotMap<ConnectionKey, usize> = SlotMap::with_key();
     let mut queue: VecDeque<(f64, ConnectionKey)> = VecDeque::new();
@@ -97,13 +96,12 @@
             else {
                 continue;
             };
-            let (schedule, overdue_calls) = &mut all[index];
-            schedule.call_failed(now, rng.rand_float());
-            if let Some(closed) = overdue_calls.add(key) {
+            all[index].call_failed(now, rng.rand_float());
+            if let Some(closed) = overdue_calls[index].add(key) {
                 open.remove(closed);
             }
         }
-        for (index, (schedule, _)) in all.iter_mut().enumerate() {
+        for (index, schedule) in all.iter_mut().enumerate() {
             if notified[index].is_none() && schedule.take_due(now) {
                 calls += 1;
                 let key = open.insert(index);
--- a/src/net/discovery/answers.rs
+++ b/src/net/discovery/answers.rs
@@ -313,8 +313,8 @@
     }
 
     fn add_overdue(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
-        if let Some(oldest) = self.link.call_overdue(key) {
-            self.abandon_call(runtime, oldest);
+        if let Some(surplus) = self.link.call_overdue(key) {
+            self.abandon_call(runtime, surplus);
         }
     }
 
