--- a/review/stand-ins/common.rs
+++ b/review/stand-ins/common.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -111,10 +112,17 @@
     global().folder.clone()
 }
 
-/// A loopback address that nobody listens on now, for a mixer.
+/// A loopback address that nobody listens on now, for a mixer; each call returns another one. The ports are below those that the system
+/// gives to connections, so that none of these takes one meanwhile.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
+    static TRIED: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = std::process::id().wrapping_mul(61) + TRIED.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from(([127, 0, 0, 1], 12_000 + (number % 20_000) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Returns the command `run` of deploy/balancer.toml. The current folder is the root of the repository.
