Settings in quick succession are each applied by their own time

Cause: Reload kept one pending deployment and one timer per acceptance; take_pending returned what was pending whichever timer fired. The log shows it: accepted at 1.520 and 2.222, applied once, at 2.520. Ruled out: the retry decision (with one configuration nothing was sent again). Settings are compared with the last scheduled ones, so that a return to those in use no longer cancels what clients use in between.

--- a/src/net/discovery/routing.rs
+++ b/src/net/discovery/routing.rs
@@ -19,6 +19,7 @@
 use mio::net::TcpStream;
 use mio::Token;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// A connection to a replica that must not receive new requests.
 struct UnreadyConnection {
@@ -351,11 +352,14 @@
         self.reload.accept_settings(&mut self.runtime, deployment);
     }
 
-    /// Applies the accepted settings when their deadline is due.
-    pub(in crate::net) fn apply_pending_settings(&mut self) {
-        let Some(deployment) = self.reload.take_pending() else {
-            return;
-        };
+    /// Applies each of the accepted settings that are due.
+    pub(in crate::net) fn apply_due_settings(&mut self) {
+        while let Some(deployment) = self.reload.take_due_settings(self.runtime.now) {
+            self.apply_settings(deployment);
+        }
+    }
+
+    fn apply_settings(&mut self, deployment: Rc<Deployment>) {
         self.runtime.directory.set_zones(deployment.zones.clone());
         self.runtime.deployment = deployment.clone();
         self.discovery
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -285,7 +285,7 @@
             Deadline::DiscoveryRetry => self.discovery_retry_due(),
             Deadline::Heartbeat => self.heartbeat_due(),
             Deadline::ListLease => self.lease_due(),
-            Deadline::ApplySettings => self.apply_pending_settings(),
+            Deadline::ApplySettings => self.apply_due_settings(),
             Deadline::OpenListeners => self.open_listeners(),
             Deadline::VrrpTimer => self.handle_vrrp_event(crate::vrrp::Event::Timer),
             Deadline::StoreRefresh => self.refresh_from_store(),
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -1,19 +1,18 @@
 //! Reload of the configuration on SIGHUP: the settings and the address of discovery. An invalid configuration changes nothing,
 //! and requests and client connections are not affected.
 
+mod settings_schedule;
+
 use crate::config::{Config, Deployment, KeyPaths};
 use crate::net::runtime::Runtime;
-use crate::net::timer_queue::Deadline;
+use crate::net::timer_queue::{Deadline, TIMER_TOLERANCE_S};
 use mio::net::UnixStream;
+use settings_schedule::SettingsSchedule;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 
-/// Delay before accepted settings are applied (seconds). Clients are notified of new settings up to 1.2 s after SIGHUP and use
-/// the old ones until then.
-const APPLY_AFTER_S: f64 = 1.0;
-
 /// The configuration file and the results of reloading it.
 pub(super) struct Reload {
     /// Becomes readable when the process has received SIGHUP.
@@ -23,7 +22,7 @@
     /// Keys of the file that was accepted last.
     key_paths: KeyPaths,
     /// Settings that are accepted but not applied yet.
-    pending: Option<Rc<Deployment>>,
+    schedule: SettingsSchedule,
     /// Address of discovery in the file that was accepted last; the environment may override it.
     file_discovery: Option<SocketAddr>,
     /// Number of files that were accepted on SIGHUP.
@@ -57,7 +56,7 @@
             signals,
             config_path,
             key_paths,
-            pending: None,
+            schedule: SettingsSchedule::default(),
             file_discovery,
             accepted: 0,
             rejected: 0,
@@ -108,19 +107,17 @@
 
     /// Accepts valid settings. They are applied after a delay, because clients use the old names and rules until then.
     pub(super) fn accept_settings(&mut self, runtime: &mut Runtime, deployment: Deployment) {
-        let is_new = deployment != *runtime.deployment;
-        self.pending = is_new.then(|| Rc::new(deployment));
-        if is_new {
-            runtime
-                .timers
-                .add(runtime.now + APPLY_AFTER_S, Deadline::ApplySettings);
+        let now = runtime.now;
+        let apply_at = self.schedule.accept(now, deployment, &runtime.deployment);
+        if let Some(apply_at) = apply_at {
+            runtime.timers.add(apply_at, Deadline::ApplySettings);
             runtime.log("reload: new settings accepted; they are applied in 1 s");
         }
     }
 
-    /// Returns accepted settings that are due to be applied, once.
-    pub(super) fn take_pending(&mut self) -> Option<Rc<Deployment>> {
-        self.pending.take()
+    /// Returns the first accepted settings that are due to be applied, once.
+    pub(super) fn take_due_settings(&mut self, now: f64) -> Option<Rc<Deployment>> {
+        self.schedule.take_due(now + TIMER_TOLERANCE_S)
     }
 }
 
