Bytes after a search answer close the connection, and answer no later part

Cause: HTTP answers do not name their request. process_response left what followed an answer in the buffer, can_accept took the connection for idle, and the copy was parsed as the answer to the next part. The same came of a copy that was unread when the next call was written, and of an answer that was accepted for a part not written yet. Ruled out: the merge of values in the coordinator (the wrong value is in the bytes that the connection gave to the part). Change: bytes after an answer close the connection, the answer counts; only a written part can be answered; the socket is checked before a request's first byte; nothing is written after a read error. The close is logged also where no attempt is lost.

--- a/src/net/replica/answers.rs
+++ b/src/net/replica/answers.rs
@@ -67,9 +67,11 @@
             Err(_) => return Err(self.reject_answer(None, ReplicaError::MalformedAnswer)),
         };
         self.answer_began_at = None;
-        let Some(part) = self.parts.pop() else {
+        // Only a part whose request has been written completely can have a response.
+        let Some(index) = self.parts.iter().position(|part| part.is_written) else {
             return Err(ReplicaError::UnexpectedResponse);
         };
+        let part = self.parts.remove(index);
         self.used_at = now;
         let LeafAnswer {
             outcome,
@@ -78,7 +80,9 @@
         } = opensearch::parse_leaf_answer(&message, part.pre_check);
         self.load = load.or(self.load.take());
         results.extend(part.result(outcome, value));
-        if message.keep_alive {
+        if !self.input.is_empty() {
+            Err(ReplicaError::UnexpectedResponse)
+        } else if message.keep_alive {
             Ok(())
         } else {
             Err(ReplicaError::ClosedAfterResponse)
--- a/src/net/replica/connection.rs
+++ b/src/net/replica/connection.rs
@@ -452,12 +452,14 @@
     }
 
     /// Writes as much as the socket accepts. `may_start` is called before the first byte of each call is written, and
-    /// returns the time if the call may be sent; other calls are withdrawn and their attempts added to `withdrawn`.
+    /// returns the time if the call may be sent; other calls are withdrawn and their attempts added to `withdrawn`. An error
+    /// means that the connection can't be used.
     pub fn flush(
         &mut self,
         mut may_start: impl FnMut(&CallTimes) -> Option<f64>,
         withdrawn: &mut Vec<AttemptKey>,
-    ) -> io::Result<()> {
+    ) -> Result<(), ReplicaError> {
+        self.check_unsolicited_input()?;
         while self.is_connected {
             match self.queue.write_once(&mut self.stream, &mut may_start)? {
                 WriteStep::Empty | WriteStep::Blocked => return Ok(()),
@@ -477,6 +479,26 @@
         Ok(())
     }
 
+    /// Checks that nothing was received before an HTTP request is written. An HTTP response does not name its request, so
+    /// bytes that are in the socket by then would be taken for the response.
+    fn check_unsolicited_input(&self) -> Result<(), ReplicaError> {
+        let is_search = self.setup.wire_format == WireFormat::Search;
+        if !is_search || !self.is_connected || !self.queue.begins_with_unsent_call() {
+            return Ok(());
+        }
+        match self.stream.peek(&mut [0]) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error.into()),
+            Ok(0) => return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+            Ok(_) => return Err(ReplicaError::UnexpectedResponse),
+        }
+        if self.answer_began_at.is_some() {
+            return Err(ReplicaError::UnexpectedResponse);
+        }
+        Ok(())
+    }
+
     fn mark_written(&mut self, frame: &QueuedFrame) {
         for part in &mut self.parts {
             part.is_written |= part.attempt.is_some_and(|attempt| frame.carries(attempt));
--- a/src/net/replica/error.rs
+++ b/src/net/replica/error.rs
@@ -25,7 +25,7 @@
     /// An answer does not have the format that the protocol requires.
     #[error("malformed answer")]
     MalformedAnswer,
-    /// An HTTP response was received although no request was in flight.
+    /// HTTP bytes were received that answer no request: before a request was written, or after its response.
     #[error("unexpected response")]
     UnexpectedResponse,
     /// An answer names a part that neither is nor recently was in flight on this connection.
--- a/src/net/replica/events.rs
+++ b/src/net/replica/events.rs
@@ -40,7 +40,8 @@
         };
         let mut results: Vec<AttemptResult> = Vec::new();
         let read = connection.read(runtime.now, &mut results);
-        let flushed = self.flush(runtime, key, list_until);
+        // Nothing is written to a connection that can't be used any more: a call on it would be lost, and might still run.
+        let result = read.and_then(|()| self.flush(runtime, key, list_until));
         let Some(replica) = record_received(runtime, key) else {
             return;
         };
@@ -51,7 +52,7 @@
         if let Some(answered_sent_at) = answered_sent_at {
             self.close_silent(runtime, replica, answered_sent_at);
         }
-        if let Err(error) = read.and(flushed) {
+        if let Err(error) = result {
             self.close(runtime, key, &error);
         }
     }
@@ -113,7 +114,8 @@
         let replica = connection.replica();
         let lost = connection.end_attempts();
         self.drop_connection(runtime, key);
-        if !lost.is_empty() {
+        // A server that sends what nobody asked for is reported even if no attempt is lost.
+        if !lost.is_empty() || matches!(error, ReplicaError::UnexpectedResponse) {
             let name = runtime
                 .directory
                 .endpoint(replica)
--- a/src/net/replica/send_queue.rs
+++ b/src/net/replica/send_queue.rs
@@ -136,6 +136,11 @@
         self.frames.is_empty()
     }
 
+    /// Returns whether the next frame to be written is a call whose writing has not started.
+    pub(super) fn begins_with_unsent_call(&self) -> bool {
+        self.frames.front().is_some_and(QueuedFrame::is_unsent_call)
+    }
+
     /// Returns the number of bytes that have not been written.
     pub(super) fn waiting_bytes(&self) -> usize {
         self.waiting_bytes
--- a/src/net/replica/sending.rs
+++ b/src/net/replica/sending.rs
@@ -12,7 +12,6 @@
 use crate::net::ConnectionKey;
 use crate::requests::coordinator::AttemptKey;
 use crate::requests::invariants::{CallTimes, Destination, Invariant, WriteInterval};
-use std::io;
 
 /// Result of writing to a connection.
 struct Flushed {
@@ -203,11 +202,8 @@
         stopped_by = verdict.err().or(stopped_by);
         verdict.is_ok().then_some(just_before)
     };
-    let result: io::Result<()> = connection.flush(may_start, withdrawn);
-    Flushed {
-        result: result.map_err(ReplicaError::from),
-        stopped_by,
-    }
+    let result = connection.flush(may_start, withdrawn);
+    Flushed { result, stopped_by }
 }
 
 /// Counts the attempts that were written completely, and verifies the calls whose writing has started.
