Bytes after an answer of discovery close the connection, and answer no later call

Cause: MessageReader left what followed a response in the buffer, and the next call on the connection read it first; read_answer also stopped at the first message with more in the socket. Change: a response followed by bytes, in the buffer or in the socket, is the last one on its connection; bytes that come while no call is open close it.

--- a/src/net/discovery/answers.rs
+++ b/src/net/discovery/answers.rs
@@ -153,7 +153,7 @@
         message: &Message,
     ) -> Result<AnswerContent, DiscoveryError> {
         let Some(open) = open_call(runtime, Some(key)) else {
-            return Err(DiscoveryError::NoAnswer);
+            return Err(DiscoveryError::Unsolicited);
         };
         let hash = list::hash_of(&message.body);
         let is_repeated = self.link.last_answer_hash == Some(hash);
--- a/src/net/discovery/connection.rs
+++ b/src/net/discovery/connection.rs
@@ -2,7 +2,7 @@
 
 use crate::endpoints::missing_answers::{CallEnd, MAX_PROMPT_CALL_S};
 use crate::net::http::{HttpError, Message, MessageReader};
-use crate::net::socket::{is_connected, write_available};
+use crate::net::socket::{has_unread_input, is_connected, write_available};
 use mio::net::TcpStream;
 use std::io::{self, Read};
 
@@ -127,6 +127,8 @@
     Status(u16),
     #[error("expected a response, received a request")]
     NoAnswer,
+    #[error("received bytes that answer no call")]
+    Unsolicited,
     #[error("list is not valid UTF-8")]
     NotUtf8,
     #[error("list is not valid JSON, or truncated")]
@@ -269,15 +271,26 @@
                 Err(error) => return Received::Failed(error.into()),
             };
             self.unread.extend_from_slice(&buffer[..count]);
-            if count > 0 && self.open_call.is_some() {
+            if count > 0 {
+                // Without a call, even the beginning of a message would be taken for the answer to the next call.
+                if self.open_call.is_none() {
+                    return Received::Failed(DiscoveryError::Unsolicited);
+                }
                 self.answer_began_at.get_or_insert(previous_iteration_at);
             }
             match self.reader.read(&mut self.unread, count == 0) {
-                Ok(Some(message)) => return Received::Answer(message),
+                Ok(Some(message)) => return Received::Answer(self.without_surplus(message)),
                 Ok(None) if count == 0 => return Received::Failed(DiscoveryError::Closed),
                 Ok(None) => {}
                 Err(error) => return Received::Failed(error.into()),
             }
         }
     }
+
+    /// Marks an answer as the last one on its connection if more bytes follow it in the socket, as the reader does for those in
+    /// the buffer.
+    fn without_surplus(&self, mut message: Message) -> Message {
+        message.keep_alive &= matches!(has_unread_input(&self.stream), Ok(false));
+        message
+    }
 }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -77,7 +77,8 @@
     pub headers: Vec<(String, String)>,
     /// Body after removal of any chunked coding.
     pub body: Vec<u8>,
-    /// Whether the connection can carry further messages after this one.
+    /// Whether the connection can carry further messages after this one. A response that is followed by bytes which answer no
+    /// request is the last one.
     pub keep_alive: bool,
     /// Whether the message carries its own length or chunked coding. Truncation of a message that ends with its
     /// connection cannot be detected.
@@ -256,7 +257,8 @@
             }
         };
         if is_complete {
-            return Ok(self.partial.take().map(|partial| partial.message));
+            let message = self.partial.take().map(|partial| partial.message);
+            return Ok(message.map(|message| self.without_surplus(message, buffer)));
         }
         if is_end_of_stream {
             return Err(HttpError::Truncated);
@@ -264,6 +266,15 @@
         Ok(None)
     }
 
+    /// Marks a response as the last one on its connection if more bytes follow it in the buffer. This program sends a request
+    /// only after the response to the one before, so these bytes answer no request, and would be taken for the next response.
+    fn without_surplus(&self, mut message: Message, buffer: &[u8]) -> Message {
+        if self.kind == MessageKind::Response && !buffer.is_empty() {
+            message.keep_alive = false;
+        }
+        message
+    }
+
     /// Parses the head of the next message and removes it from the buffer, once it is complete.
     fn read_head(&self, buffer: &mut Vec<u8>) -> Result<Option<PartialMessage>, HttpError> {
         let Some(head) = Head::parse(self.kind, buffer)? else {
--- a/src/net/http/tests.rs
+++ b/src/net/http/tests.rs
@@ -126,3 +126,20 @@
     let texts = [0.0, -1.0, 2.0, 1.2349, 0.5].map(format_seconds);
     assert_eq!(texts, ["0", "0", "2", "1.234", "0.5"]);
 }
+
+/// Guards against bytes after a response that are taken for the response to the next request.
+#[rstest]
+#[case::complete("", true)]
+#[case::second_copy("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", false)]
+#[case::noise("\0", false)]
+fn a_response_followed_by_bytes_is_the_last_one_on_its_connection(
+    #[case] surplus: &str,
+    #[case] keep_alive: bool,
+) {
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na{surplus}");
+    let mut buffer = text.into_bytes();
+    let message = MessageReader::responses(10).read(&mut buffer, false);
+    let message = message.unwrap().unwrap();
+    assert_eq!(message.body, b"a");
+    assert_eq!(message.keep_alive, keep_alive);
+}
--- a/src/net/replica/connection.rs
+++ b/src/net/replica/connection.rs
@@ -11,7 +11,7 @@
 use crate::net::replica::error::ReplicaError;
 use crate::net::replica::frames::{self, EncodedCall};
 use crate::net::replica::send_queue::{QueuedFrame, SendQueue, StartedCall, WriteStep};
-use crate::net::socket::is_connected;
+use crate::net::socket::{has_unread_input, is_connected};
 use crate::requests::coordinator::{AttemptKey, CallPart};
 use crate::requests::invariants::CallTimes;
 use mio::net::TcpStream;
@@ -486,14 +486,7 @@
         if !is_search || !self.is_connected || !self.queue.begins_with_unsent_call() {
             return Ok(());
         }
-        match self.stream.peek(&mut [0]) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(error) => return Err(error.into()),
-            Ok(0) => return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
-            Ok(_) => return Err(ReplicaError::UnexpectedResponse),
-        }
-        if self.answer_began_at.is_some() {
+        if has_unread_input(&self.stream)? || self.answer_began_at.is_some() {
             return Err(ReplicaError::UnexpectedResponse);
         }
         Ok(())
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -69,6 +69,17 @@
     }
 }
 
+/// Returns whether received bytes wait to be read. Fails if the peer has closed its side, or the connection has failed.
+pub(super) fn has_unread_input(stream: &TcpStream) -> io::Result<bool> {
+    match stream.peek(&mut [0]) {
+        Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+        Ok(_) => Ok(true),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
+        Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(false),
+        Err(error) => Err(error),
+    }
+}
+
 /// Writes as much of a buffer as the socket accepts, and removes it from the front of the buffer.
 pub(super) fn write_available(stream: &mut impl Write, buffer: &mut Vec<u8>) -> io::Result<()> {
     while !buffer.is_empty() {
