Creates of classes without idempotency key reach search leaf servers as creates

Cause: render_leaf_request took a part for a create if it had an idempotency key, which only classes of effect dedup have. Ruled out: the reload (the same from the start), the retry. The platform's queries went the same way. Test before the fix: exchange search-leaf-non-idempotent failed, 'received POST /hold/_search?...'.

--- a/src/net/client/opensearch/leaf.rs
+++ b/src/net/client/opensearch/leaf.rs
@@ -32,10 +32,10 @@
     let query_request = &part.query_request;
     let shard = query_request.parts[part.index].shard;
     let timeout_ms = (part.timeout_s * 1000.0).floor().max(1.0) as u64;
-    let LeafCall { line, body } = match &query_request.idempotency_key {
-        Some(key) => {
+    let LeafCall { line, body } = match &query_request.document_id {
+        Some(id) => {
             let routing = routing_value_for(shard, shard_count);
-            create_call(query_request, key, &routing, timeout_ms)
+            create_call(query_request, id, &routing, timeout_ms)
         }
         None if part.pre_check => count_call(query_request, shard),
         None => search_call(query_request, shard, timeout_ms),
@@ -56,13 +56,13 @@
 
 fn create_call(
     query_request: &QueryRequest,
-    key: &str,
+    document_id: &str,
     routing: &str,
     timeout_ms: u64,
 ) -> LeafCall {
     let text = &query_request.payload;
     let index = percent_encode(&query_request.class_name);
-    let id = percent_encode(key);
+    let id = percent_encode(document_id);
     LeafCall {
         line: format!("PUT /{index}/_create/{id}?routing={routing}&timeout={timeout_ms}ms"),
         body: match parse_object(text) {
--- a/src/net/client/platform.rs
+++ b/src/net/client/platform.rs
@@ -201,6 +201,7 @@
         is_client_retry: message.header("x-retried") == Some("1"),
         timeout_s,
         timeout_uncertainty_s: 0.0,
+        document_id: document_id(id, idempotency_key.as_deref(), settings),
         idempotency_key,
         payload: body.statement,
         complete_only: false,
@@ -266,6 +267,21 @@
     }
 }
 
+/// Returns the id of the document that a query creates at leaf servers of the search API: the idempotency key or, in a class
+/// without one, the request id, which every request has for itself. Returns `None` for a search.
+fn document_id(
+    request_id: &str,
+    idempotency_key: Option<&str>,
+    settings: &ClassSettings,
+) -> Option<String> {
+    match settings.effect {
+        Effect::Idempotent => None,
+        Effect::IdempotentWithKey | Effect::NonIdempotent => {
+            Some(idempotency_key.unwrap_or(request_id).to_string())
+        }
+    }
+}
+
 fn parse_parts(parts: &[PartJson], shard_count: u32) -> Result<Vec<PartRequest>, PlatformError> {
     let mut shards = BTreeSet::new();
     let mut requests = Vec::new();
--- a/src/requests/query_request.rs
+++ b/src/requests/query_request.rs
@@ -36,6 +36,9 @@
     pub timeout_uncertainty_s: f64,
     /// Idempotency key by which leaf servers discard duplicates, in classes that require one.
     pub idempotency_key: Option<String>,
+    /// Id of the document that the query creates; `None` for a search. A query creates a document if its class was not
+    /// idempotent when the query was received, whether or not leaf servers discard duplicates.
+    pub document_id: Option<String>,
     /// Payload sent with every part.
     pub payload: String,
     /// Whether the client accepts only a complete answer.
