A shutdown waits for open requests whose deadline no class in use has any more

Cause: begin_closing took the longest deadline of the settings in use, 3 s at least; requests keep the deadline with which they were accepted. The log showed 'unanswered: 1 requests at the end'. Change: the closing phase lasts to the latest deadline of the open requests, and 0.2 s for reading; 'every request is answered' is logged only where it is so. Test before the fix: exchange shutdown-removed-class failed, connection closed with no answer 3 s after the listeners.

--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -230,14 +230,17 @@
             return;
         };
         let now = runtime.now;
+        let until = until.max(last_response_by(runtime));
+        self.phase = Phase::Closing { until };
         let is_busy = |connection: &Connection| match connection {
             Connection::Client(client) => !client.has_lingered(now, LAST_RESPONSE_LINGER_S),
             _ => false,
         };
         if now >= until || !runtime.connections.values().any(is_busy) {
             self.phase = Phase::Stopped;
-            check_unanswered(runtime);
-            runtime.log("shutdown: complete, every request is answered");
+            if !has_unanswered(runtime) {
+                runtime.log("shutdown: complete, every request is answered");
+            }
         } else {
             let next_at = now + LAST_RESPONSE_LINGER_S / 4.0;
             runtime.timers.add(next_at, Deadline::Phase);
@@ -245,8 +248,15 @@
     }
 }
 
-/// Records a violated invariant for each request that is open when the process exits, since it gets no answer.
-fn check_unanswered(runtime: &mut Runtime) {
+/// Returns the time until which clients of open requests may still read their responses; 0 if no request is open. A request
+/// keeps the deadline with which it was accepted, which may be longer than any in the current settings.
+fn last_response_by(runtime: &Runtime) -> f64 {
+    let deadline = runtime.coordinator.latest_client_deadline();
+    deadline.map_or(0.0, |deadline| deadline + LAST_RESPONSE_LINGER_S)
+}
+
+/// Returns whether requests are open when the process exits, which get no answer. Records a violated invariant for each.
+fn has_unanswered(runtime: &mut Runtime) -> bool {
     let unanswered = runtime.coordinator.open_requests();
     for _ in 0..unanswered {
         let invariants = runtime.coordinator.invariants_mut();
@@ -258,4 +268,5 @@
             Invariant::Unanswered.label()
         ));
     }
+    unanswered > 0
 }
--- a/src/requests/coordinator.rs
+++ b/src/requests/coordinator.rs
@@ -252,6 +252,14 @@
         self.requests.len()
     }
 
+    /// Returns the latest time until which the client of an open request may wait, or `None` if no request is open.
+    pub fn latest_client_deadline(&self) -> Option<f64> {
+        self.requests
+            .values()
+            .map(|request| request.client_deadline_bounds().latest)
+            .reduce(f64::max)
+    }
+
     /// Returns whether a request with this id is open here or in the predecessor process. A second request with the same id
     /// must not be accepted.
     pub fn is_request_open(&self, id: &str) -> bool {
