A restarted mixer follows the drains in its data folder before it has a majority

Cause: Registers::open loads the drains, but a stored value was followed only once a read from a majority had returned it. Settings are read from the folder at the start; drains were not. Change: set_up_store follows the drains of the folder before any list; a majority's value replaces them. Their grace does not begin anew.

--- a/src/endpoints/directory.rs
+++ b/src/endpoints/directory.rs
@@ -104,6 +104,8 @@
     last_id: u32,
     /// Names that operators marked as draining.
     drain_marks: BTreeSet<String>,
+    /// Those of the marked names that were marked before this process started, so that their drain grace is over.
+    restored_marks: BTreeSet<String>,
     zones: Vec<String>,
 }
 
@@ -324,13 +326,25 @@
             entry.lifecycle = Lifecycle::Draining;
         }
         endpoint.is_ready = entry.lifecycle == Lifecycle::Ready;
+        let is_restored = self.restored_marks.contains(&endpoint.name);
         self.update_indexes(id);
+        if let Some(endpoint) = self.endpoints.get_mut(&id).filter(|_| is_restored) {
+            endpoint.unready_since.get_or_insert(f64::NEG_INFINITY);
+        }
         Some(entry)
     }
 
+    /// Marks names as draining that operators marked before this process started. Must be called before a list is read.
+    pub fn restore_drain_marks(&mut self, names: Vec<String>) {
+        self.drain_marks = names.into_iter().collect();
+        self.restored_marks = self.drain_marks.clone();
+    }
+
     /// Replaces the set of names that operators marked as draining. Returns the entries whose mark changed.
     pub fn set_drain_marks(&mut self, names: Vec<String>) -> Vec<ReplicaEntry> {
         let before = std::mem::replace(&mut self.drain_marks, names.into_iter().collect());
+        self.restored_marks
+            .retain(|name| self.drain_marks.contains(name));
         let changed: Vec<ReplicaId> = before
             .symmetric_difference(&self.drain_marks)
             .filter_map(|name| self.names.get(name))
--- a/src/net/operator_routing.rs
+++ b/src/net/operator_routing.rs
@@ -122,12 +122,28 @@
 
 /// Handlers of the store.
 impl Mixer {
-    /// Opens the store and its listener for peers, and starts reading from the store.
+    /// Opens the store and its listener for peers, follows the drains in its data folder, and starts reading from the store.
+    /// Must be called before an endpoint list is applied.
     pub(super) fn set_up_store(&mut self, setup: StoreSetup) -> Result<(), NetError> {
-        self.store = Some(StorePeers::open(&mut self.runtime, setup)?);
+        let mut store = StorePeers::open(&mut self.runtime, setup)?;
+        let drains = store.restored_drains();
+        self.store = Some(store);
+        if !drains.is_empty() {
+            self.log_draining(&drains);
+            self.runtime.directory.restore_drain_marks(drains);
+        }
         Ok(())
     }
 
+    fn log_draining(&mut self, names: &[String]) {
+        match names.len() {
+            0..=MAX_LOGGED_NAMES => self.runtime.log(&format!("store: draining {names:?}")),
+            count => self
+                .runtime
+                .log(&format!("store: draining {count} servers")),
+        }
+    }
+
     /// Accepts pending connections of store peers.
     pub(super) fn accept_store_peers(&mut self) {
         while let Some(store) = &mut self.store {
@@ -236,12 +252,7 @@
                 self.apply_list_without_revision(&list);
             }
             StoredChange::Draining(names) => {
-                match names.len() {
-                    0..=MAX_LOGGED_NAMES => self.runtime.log(&format!("store: draining {names:?}")),
-                    count => self
-                        .runtime
-                        .log(&format!("store: draining {count} servers")),
-                }
+                self.log_draining(&names);
                 let entries = self.runtime.directory.set_drain_marks(names);
                 self.apply_entries(false, entries);
             }
--- a/src/net/store_peers.rs
+++ b/src/net/store_peers.rs
@@ -160,6 +160,19 @@
         })
     }
 
+    /// Returns the names of draining leaf servers that the data folder holds. The store may have newer ones, which only a majority
+    /// of the nodes can tell; until then it is safer to send these servers nothing.
+    pub(in crate::net) fn restored_drains(&mut self) -> Vec<String> {
+        let (_, value) = self.setup.registers.get(contents::DRAINING);
+        let change = value
+            .map(String::from)
+            .and_then(|value| self.take_value(contents::DRAINING, value));
+        match change {
+            Some(StoredChange::Draining(names)) => names,
+            _ => Vec::new(),
+        }
+    }
+
     /// Accepts one peer and reads the data it has sent. Returns whether there was one. [`StorePeers::next_completed`] has to be
     /// called afterwards.
     pub(in crate::net) fn accept(&mut self, runtime: &mut Runtime) -> bool {
--- a/src/net/store_peers/contents.rs
+++ b/src/net/store_peers/contents.rs
@@ -7,7 +7,7 @@
 /// Key of the endpoint list, which has discovery's format.
 const ENDPOINT_LIST: &str = "members";
 /// Key of the names of leaf servers that are draining.
-const DRAINING: &str = "drains";
+pub(super) const DRAINING: &str = "drains";
 /// Key of the settings, which take precedence over those of the configuration file.
 pub(super) const SETTINGS: &str = "settings";
 /// The keys that a mixer reads.
--- a/tests/exchanges/main.rs
+++ b/tests/exchanges/main.rs
@@ -7,7 +7,8 @@
 //!   supports two-phase queries.
 //! - `discovery`: a discovery, played by the script under that name. `another NAME`: another listener of this kind.
 //! - `peer NAME`: a node of the store. `udp NAME`: a VRRP router.
-//! - `set KEY JSON`: sets a key of the configuration; `@NAME` stands for the address of a party such as `peer NAME` or `udp NAME`.
+//! - `set KEY JSON`: sets a key of the configuration; `@NAME` stands for the address of a party such as `peer NAME` or `udp NAME`, and
+//!   `@folder` for the temporary folder.
 //!   `edit OLD => NEW`: replaces text in the settings. `unlisted`: the configuration has no list of servers (`known`).
 //! - `start`: starts the program, with the leaf servers so far as its known list. `log TEXT`: waits until the program has logged a
 //!   line with that text.
--- a/tests/exchanges/steps.rs
+++ b/tests/exchanges/steps.rs
@@ -72,9 +72,9 @@
     }
 }
 
-/// Returns `value` with each `@NAME` replaced by the address of that party.
+/// Returns `value` with each `@NAME` replaced by the address of that party, and `@folder` by the temporary folder.
 fn with_addresses(state: &ScriptState, value: &str) -> String {
-    let mut value = value.to_string();
+    let mut value = value.replace("@folder", &state.folder.to_string_lossy());
     for (name, peer) in &state.peers {
         if let Some(address) = peer.address {
             value = value.replace(&format!("@{name}"), &address.to_string());
