New rules on retries wait until no client follows the old ones

Cause: settings are applied after 1.0 s, so that new classes are known in time, and with them the effect of each class; a request does not say which settings its client follows. Change: until 0.25 s after new settings were applied, a class whose effect differs is not retried after an attempt that may have run, the shorter idempotency window holds, and requests of both forms are valid. SettingsSchedule ends each restriction by its own time. Tests: with a transition of 0 s, as before, five of the new unit tests fail (Idempotent at 1.0 s where NonIdempotent is due); they pass now.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -6,6 +6,7 @@
 mod classes;
 mod phases;
 mod sections;
+mod transition;
 
 use super::bounds::{check_choice, check_range};
 use super::fault;
@@ -16,6 +17,8 @@
 use miniserde::Deserialize;
 use phases::PhasesJson;
 use sections::{FamilyJson, PermissionsJson, RulesJson, TenantJson};
+use std::collections::BTreeMap;
+pub use transition::EffectChange;
 
 /// Default of [`Deployment::max_in_flight`].
 const MAX_IN_FLIGHT: u32 = 1000;
@@ -51,6 +54,8 @@
     pub connection_idle_s: f64,
     /// Configuration of the pre-check phases. No class has them if its list of classes is empty.
     pub phases: TwoPhaseSettings,
+    /// Classes whose effect is changing, by index. They are not idempotent until all clients follow the new settings.
+    pub effect_changes: BTreeMap<usize, EffectChange>,
 }
 
 /// JSON form of the settings. Unknown keys are ignored.
@@ -156,6 +161,7 @@
             streams_per_connection: streams.unwrap_or(STREAMS_PER_CONNECTION).max(1) as usize,
             connect_timeout_s: connect_timeout_s.unwrap_or(CONNECT_TIMEOUT_S),
             connection_idle_s: connection_idle_s.unwrap_or(CONNECTION_IDLE_S),
+            effect_changes: BTreeMap::new(),
         })
     }
 
--- a/src/net/client/opensearch/request.rs
+++ b/src/net/client/opensearch/request.rs
@@ -174,7 +174,8 @@
         .filter(|text| text.len() <= MAX_OPAQUE_ID_BYTES);
     let context = SearchContext::new(target, &options, opaque, deployment);
     let timeout_s = options.timeout_s.unwrap_or(settings.deadline_s);
-    let needs_key = settings.effect == Effect::IdempotentWithKey;
+    let has_key =
+        settings.effect == Effect::IdempotentWithKey || deployment.is_effect_changing(class);
     let query_request = QueryRequest {
         id,
         protocol: Protocol::Search,
@@ -186,7 +187,7 @@
         is_client_retry: false,
         timeout_s: timeout_s.min(settings.deadline_s),
         timeout_uncertainty_s: 0.0,
-        idempotency_key: created_id.filter(|_| needs_key).map(String::from),
+        idempotency_key: created_id.filter(|_| has_key).map(String::from),
         document_id: created_id.map(String::from),
         payload: text,
         complete_only: !options.allows_partial,
@@ -199,7 +200,8 @@
     })
 }
 
-/// Returns the class index of an index. A class with idempotent queries accepts searches, any other class accepts creates.
+/// Returns the class index of an index. A class with idempotent queries accepts searches, any other class accepts creates, and
+/// a class whose effect is changing accepts both.
 fn find_class(deployment: &Deployment, target: &Target) -> Result<usize, SearchError> {
     let class = deployment
         .classes
@@ -212,7 +214,7 @@
         Effect::Idempotent => OperationKind::Search,
         Effect::IdempotentWithKey | Effect::NonIdempotent => OperationKind::Create,
     };
-    if target.operation.kind() != supported {
+    if target.operation.kind() != supported && !deployment.is_effect_changing(class) {
         return Err(SearchError::WrongOperation {
             index: target.index.to_string(),
             supported,
--- a/src/net/client/platform.rs
+++ b/src/net/client/platform.rs
@@ -186,7 +186,7 @@
     let tenant = tenant_index(deployment, message.header("x-tenant-id"))
         .ok_or(PlatformError::UnknownTenant)?;
     let timeout_s = parse_timeout_s(message, settings)?;
-    let idempotency_key = parse_idempotency_key(message, settings)?;
+    let idempotency_key = parse_idempotency_key(message, deployment, class)?;
     let body = std::str::from_utf8(&message.body).map_err(PlatformError::BodyNotUtf8)?;
     let body: QueryJson = json::from_str(body).map_err(PlatformError::BodyNotAQuery)?;
     let parts = parse_parts(&body.parts, deployment.shards)?;
@@ -201,7 +201,11 @@
         is_client_retry: message.header("x-retried") == Some("1"),
         timeout_s,
         timeout_uncertainty_s: 0.0,
-        document_id: document_id(id, idempotency_key.as_deref(), settings),
+        document_id: document_id(
+            id,
+            idempotency_key.as_deref(),
+            deployment.effect_of_request_without_key(class),
+        ),
         idempotency_key,
         payload: body.statement,
         complete_only: false,
@@ -249,16 +253,21 @@
     }
 }
 
-/// Returns the idempotency key for a class that requires one. For other classes the key is validated and ignored.
+/// Returns the idempotency key for a class that requires one. For other classes the key is validated and ignored. A class whose
+/// effect is changing may have a key.
 fn parse_idempotency_key(
     message: &Message,
-    settings: &ClassSettings,
+    deployment: &Deployment,
+    class: usize,
 ) -> Result<Option<String>, PlatformError> {
     let key = message.header("idempotency-key");
     if key.is_some_and(|key| !is_valid_idempotency_key(key)) {
         return Err(PlatformError::InvalidIdempotencyKey);
     }
-    if settings.effect != Effect::IdempotentWithKey {
+    if deployment.is_effect_changing(class) {
+        return Ok(key.map(String::from));
+    }
+    if deployment.policy.classes[class].effect != Effect::IdempotentWithKey {
         return Ok(None);
     }
     match key {
@@ -272,13 +281,12 @@
 fn document_id(
     request_id: &str,
     idempotency_key: Option<&str>,
-    settings: &ClassSettings,
+    effect_without_key: Effect,
 ) -> Option<String> {
-    match settings.effect {
-        Effect::Idempotent => None,
-        Effect::IdempotentWithKey | Effect::NonIdempotent => {
-            Some(idempotency_key.unwrap_or(request_id).to_string())
-        }
+    match (idempotency_key, effect_without_key) {
+        (Some(key), _) => Some(key.to_string()),
+        (None, Effect::Idempotent) => None,
+        (None, Effect::IdempotentWithKey | Effect::NonIdempotent) => Some(request_id.to_string()),
     }
 }
 
--- a/src/net/discovery/routing.rs
+++ b/src/net/discovery/routing.rs
@@ -352,9 +352,9 @@
         self.reload.accept_settings(&mut self.runtime, deployment);
     }
 
-    /// Applies each of the accepted settings that are due.
+    /// Applies each of the accepted settings that are due, and ends restrictions that are over.
     pub(in crate::net) fn apply_due_settings(&mut self) {
-        while let Some(deployment) = self.reload.take_due_settings(self.runtime.now) {
+        while let Some(deployment) = self.reload.take_due_settings(&self.runtime) {
             self.apply_settings(deployment);
         }
     }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -108,16 +108,19 @@
     /// Accepts valid settings. They are applied after a delay, because clients use the old names and rules until then.
     pub(super) fn accept_settings(&mut self, runtime: &mut Runtime, deployment: Deployment) {
         let now = runtime.now;
-        let apply_at = self.schedule.accept(now, deployment, &runtime.deployment);
-        if let Some(apply_at) = apply_at {
-            runtime.timers.add(apply_at, Deadline::ApplySettings);
+        let times = self.schedule.accept(now, deployment, &runtime.deployment);
+        if let Some(times) = times {
+            for at in [times.apply_at, times.complete_at] {
+                runtime.timers.add(at, Deadline::ApplySettings);
+            }
             runtime.log("reload: new settings accepted; they are applied in 1 s");
         }
     }
 
-    /// Returns the first accepted settings that are due to be applied, once.
-    pub(super) fn take_due_settings(&mut self, now: f64) -> Option<Rc<Deployment>> {
-        self.schedule.take_due(now + TIMER_TOLERANCE_S)
+    /// Returns the settings to be used from now on, if they differ from those in use. Has to be called until it returns `None`.
+    pub(super) fn take_due_settings(&mut self, runtime: &Runtime) -> Option<Rc<Deployment>> {
+        let due_by = runtime.now + TIMER_TOLERANCE_S;
+        self.schedule.take_due(due_by, &runtime.deployment)
     }
 }
 
@@ -125,10 +128,18 @@
 pub(super) fn apply_settings(runtime: &mut Runtime, deployment: Rc<Deployment>) {
     runtime
         .coordinator
-        .reconfigure(runtime.now, deployment, &mut runtime.commands);
-    let classes = &runtime.deployment.classes;
-    let line = format!("reload: settings applied, classes {classes:?}");
-    runtime.log(&line);
+        .reconfigure(runtime.now, deployment.clone(), &mut runtime.commands);
+    let classes = &deployment.classes;
+    runtime.log(&format!("reload: settings applied, classes {classes:?}"));
+    let changing: Vec<&String> = (0..classes.len())
+        .filter(|class| deployment.is_effect_changing(*class))
+        .map(|class| &classes[class])
+        .collect();
+    if !changing.is_empty() {
+        runtime.log(&format!(
+            "reload: parts of {changing:?} that may have run are not retried until all clients use the new effect"
+        ));
+    }
     log_phases(runtime);
 }
 
--- a/src/net/reload/settings_schedule/tests.rs
+++ b/src/net/reload/settings_schedule/tests.rs
@@ -2,77 +2,144 @@
 
 use super::*;
 use crate::config;
+use crate::decisions::api::Effect;
+
+/// A schedule and the settings in use.
+struct Fixture {
+    schedule: SettingsSchedule,
+    current: Rc<Deployment>,
+}
+
+impl Fixture {
+    fn new(current: Deployment) -> Fixture {
+        Fixture {
+            schedule: SettingsSchedule::default(),
+            current: Rc::new(current),
+        }
+    }
+
+    /// Accepts settings, and returns the time at which they are applied.
+    fn accept(&mut self, now: f64, deployment: Deployment) -> Option<f64> {
+        let times = self.schedule.accept(now, deployment, &self.current)?;
+        Some(times.apply_at)
+    }
+
+    /// Applies the first settings that are due, and returns the name of their first class.
+    fn apply(&mut self, now: f64) -> Option<String> {
+        self.current = self.schedule.take_due(now, &self.current)?;
+        Some(self.current.classes[0].clone())
+    }
+
+    /// Applies all settings that are due, and returns the effect of the first class.
+    fn effect(&mut self, now: f64) -> Effect {
+        while self.apply(now).is_some() {}
+        self.current.policy.classes[0].effect
+    }
+}
 
 /// Returns settings with a single class of this name.
 fn settings(class: &str) -> Deployment {
+    settings_with_effect(class, "retryable")
+}
+
+fn settings_with_effect(class: &str, effect: &str) -> Deployment {
     let text = format!(
-        "{{\"categories\": [{{\"name\": \"{class}\", \"aimS\": 0.1, \"giveUpS\": 0.5, \"worth\": 1}}]}}"
+        "{{\"categories\": [{{\"name\": \"{class}\", \"aimS\": 0.1, \"giveUpS\": 0.5, \"effect\": \"{effect}\", \"worth\": 1}}]}}"
     );
     config::decode(text.as_bytes()).expect("the settings are valid")
 }
 
-/// Returns the class of the settings that are due.
-fn due_class(schedule: &mut SettingsSchedule, now: f64) -> Option<String> {
-    let deployment = schedule.take_due(now)?;
-    Some(deployment.classes[0].clone())
-}
-
 /// Guards against settings that are applied by the timer of earlier ones, while clients still use the rules before them.
 #[test]
 fn each_settings_are_applied_one_second_after_their_own_acceptance() {
-    let mut schedule = SettingsSchedule::default();
-    let current = settings("first");
-    assert_eq!(
-        schedule.accept(5.0, settings("second"), &current),
-        Some(6.0)
-    );
-    assert_eq!(
-        schedule.accept(5.75, settings("third"), &current),
-        Some(6.75)
-    );
-    assert_eq!(due_class(&mut schedule, 5.99), None);
-    assert_eq!(due_class(&mut schedule, 6.0).as_deref(), Some("second"));
-    assert_eq!(due_class(&mut schedule, 6.74), None);
-    assert_eq!(due_class(&mut schedule, 6.75).as_deref(), Some("third"));
-    assert_eq!(due_class(&mut schedule, 9.0), None);
+    let mut fixture = Fixture::new(settings("first"));
+    assert_eq!(fixture.accept(5.0, settings("second")), Some(6.0));
+    assert_eq!(fixture.accept(5.75, settings("third")), Some(6.75));
+    assert_eq!(fixture.apply(5.99), None);
+    assert_eq!(fixture.apply(6.0).as_deref(), Some("second"));
+    assert_eq!(fixture.apply(6.74), None);
+    assert_eq!(fixture.apply(6.75).as_deref(), Some("third"));
+    assert_eq!(fixture.apply(9.0), None);
 }
 
 /// Guards against a return to the current settings that cancels the settings accepted before it, which clients use in between.
 #[test]
 fn a_return_to_the_current_settings_is_applied_after_the_settings_before_it() {
-    let mut schedule = SettingsSchedule::default();
-    let current = settings("first");
-    schedule.accept(0.0, settings("second"), &current);
-    assert_eq!(schedule.accept(0.5, settings("first"), &current), Some(1.5));
-    assert_eq!(due_class(&mut schedule, 1.0).as_deref(), Some("second"));
-    assert_eq!(due_class(&mut schedule, 1.5).as_deref(), Some("first"));
+    let mut fixture = Fixture::new(settings("first"));
+    fixture.accept(0.0, settings("second"));
+    assert_eq!(fixture.accept(0.5, settings("first")), Some(1.5));
+    assert_eq!(fixture.apply(1.0).as_deref(), Some("second"));
+    assert_eq!(fixture.apply(1.5).as_deref(), Some("first"));
 }
 
 #[test]
 fn settings_that_change_nothing_are_not_scheduled() {
-    let mut schedule = SettingsSchedule::default();
-    let current = settings("first");
-    assert_eq!(schedule.accept(0.0, settings("first"), &current), None);
-    assert_eq!(
-        schedule.accept(0.0, settings("second"), &current),
-        Some(1.0)
-    );
-    assert_eq!(schedule.accept(0.5, settings("second"), &current), None);
-    assert_eq!(due_class(&mut schedule, 1.0).as_deref(), Some("second"));
-    assert_eq!(due_class(&mut schedule, 2.0), None);
+    let mut fixture = Fixture::new(settings("first"));
+    assert_eq!(fixture.accept(0.0, settings("first")), None);
+    assert_eq!(fixture.accept(0.0, settings("second")), Some(1.0));
+    assert_eq!(fixture.accept(0.5, settings("second")), None);
+    assert_eq!(fixture.apply(1.0).as_deref(), Some("second"));
+    assert_eq!(fixture.accept(1.1, settings("second")), None);
+    assert_eq!(fixture.apply(9.0), None);
 }
 
 #[test]
 fn settings_in_quick_succession_take_bounded_memory_and_the_last_ones_are_applied_last() {
-    let mut schedule = SettingsSchedule::default();
-    let current = settings("first");
+    let mut fixture = Fixture::new(settings("first"));
     for number in 0..100 * MAX_WAITING {
-        schedule.accept(0.0, settings(&format!("class-{number}")), &current);
+        fixture.accept(0.0, settings(&format!("class-{number}")));
     }
-    assert_eq!(schedule.waiting.len(), MAX_WAITING);
+    assert_eq!(fixture.schedule.waiting.len(), MAX_WAITING);
     let mut last = None;
-    while let Some(class) = due_class(&mut schedule, 1.0) {
+    while let Some(class) = fixture.apply(1.0) {
         last = Some(class);
     }
     assert_eq!(last, Some(format!("class-{}", 100 * MAX_WAITING - 1)));
 }
+
+/// Guards against a part that is retried by new rules although its client still follows the old ones, which bind up to 1.2 s after
+/// SIGHUP.
+#[test]
+fn a_class_that_becomes_idempotent_is_not_retried_until_all_clients_use_the_new_settings() {
+    let mut fixture = Fixture::new(settings_with_effect("hold", "fragile"));
+    fixture.accept(0.0, settings_with_effect("hold", "retryable"));
+    assert_eq!(fixture.effect(1.0), Effect::NonIdempotent);
+    assert!(fixture.current.is_effect_changing(0));
+    assert_eq!(fixture.effect(1.2), Effect::NonIdempotent);
+    assert_eq!(fixture.effect(1.25), Effect::Idempotent);
+    assert!(!fixture.current.is_effect_changing(0));
+}
+
+/// The second settings return to the first effect, while some clients still use each of the others.
+#[test]
+fn restrictions_of_settings_in_quick_succession_end_each_by_its_own_time() {
+    let mut fixture = Fixture::new(settings_with_effect("hold", "retryable"));
+    fixture.accept(0.0, settings_with_effect("hold", "fragile"));
+    fixture.accept(0.125, settings_with_effect("hold", "retryable"));
+    assert_eq!(fixture.effect(1.0), Effect::NonIdempotent);
+    assert_eq!(fixture.effect(1.125), Effect::NonIdempotent);
+    assert_eq!(fixture.effect(1.25), Effect::NonIdempotent);
+    assert_eq!(fixture.effect(1.375), Effect::Idempotent);
+}
+
+/// While an effect changes, a request without a key is formed by the former effect, unless that requires a key.
+#[rstest::rstest]
+#[case::key_no_longer_required("dedup", "retryable", Effect::Idempotent)]
+#[case::no_longer_idempotent_with_key("dedup", "fragile", Effect::NonIdempotent)]
+#[case::key_required("fragile", "dedup", Effect::NonIdempotent)]
+#[case::no_longer_idempotent("retryable", "fragile", Effect::Idempotent)]
+fn a_request_without_a_key_has_the_effect_that_its_client_can_have_meant(
+    #[case] before: &str,
+    #[case] after: &str,
+    #[case] effect_without_key: Effect,
+) {
+    let mut fixture = Fixture::new(settings_with_effect("hold", before));
+    let new = settings_with_effect("hold", after);
+    let new_effect = new.policy.classes[0].effect;
+    fixture.accept(0.0, new);
+    assert_eq!(fixture.effect(1.0), Effect::NonIdempotent);
+    let effect = fixture.current.effect_of_request_without_key(0);
+    assert_eq!(effect, effect_without_key);
+    assert_eq!(fixture.effect(1.25), new_effect);
+    assert_eq!(fixture.current.effect_of_request_without_key(0), new_effect);
+}
