A create does not stop the event loop where the number of shards is not known

Cause: routing_value_for searches a number whose hash is the shard, with the sentinel u32::MAX as the number of shards. Routing values are percent-encoded.

--- a/src/net/client/opensearch/leaf.rs
+++ b/src/net/client/opensearch/leaf.rs
@@ -34,7 +34,7 @@
     let timeout_ms = (part.timeout_s * 1000.0).floor().max(1.0) as u64;
     let LeafCall { line, body } = match &query_request.document_id {
         Some(id) => {
-            let routing = routing_value_for(shard, shard_count);
+            let routing = routing_value(query_request, shard, shard_count);
             create_call(query_request, id, &routing, timeout_ms)
         }
         None if part.pre_check => count_call(query_request, shard),
@@ -54,6 +54,14 @@
     .into_bytes()
 }
 
+/// Returns a routing value that selects a shard at a leaf server. Where none can be computed, this is the client's own value, or
+/// the number of the shard if the client named that.
+fn routing_value(query_request: &QueryRequest, shard: u32, shard_count: u32) -> String {
+    routing_value_for(shard, shard_count)
+        .or_else(|| query_request.routing.clone())
+        .unwrap_or_else(|| shard.to_string())
+}
+
 fn create_call(
     query_request: &QueryRequest,
     document_id: &str,
@@ -63,6 +71,7 @@
     let text = &query_request.payload;
     let index = percent_encode(&query_request.class_name);
     let id = percent_encode(document_id);
+    let routing = percent_encode(routing);
     LeafCall {
         line: format!("PUT /{index}/_create/{id}?routing={routing}&timeout={timeout_ms}ms"),
         body: match parse_object(text) {
--- a/src/net/client/platform.rs
+++ b/src/net/client/platform.rs
@@ -207,6 +207,7 @@
             deployment.effect_of_request_without_key(class),
         ),
         idempotency_key,
+        routing: None,
         payload: body.statement,
         complete_only: false,
         pre_check_above: None,
--- a/src/requests/query_request.rs
+++ b/src/requests/query_request.rs
@@ -39,6 +39,8 @@
     /// Id of the document that the query creates; `None` for a search. A query creates a document if its class was not
     /// idempotent when the query was received, whether or not leaf servers discard duplicates.
     pub document_id: Option<String>,
+    /// Routing value by which the client selected the shard of a document; `None` if it selected shards by number.
+    pub routing: Option<String>,
     /// Payload sent with every part.
     pub payload: String,
     /// Whether the client accepts only a complete answer.
