Creates are routed by the number of shards that selected their shard

Cause: ReplicaConnectionSetup kept the number of shards from when the connection was opened. Change: QueryRequest carries the number by which its shards were selected; the connection has none.

--- a/src/net/client/opensearch/leaf.rs
+++ b/src/net/client/opensearch/leaf.rs
@@ -24,17 +24,13 @@
 
 /// Serializes a call with one part. The remaining time of the part is sent as the `timeout` parameter, except for
 /// pre-checks.
-pub(in crate::net) fn render_leaf_request(
-    part: &CallPart,
-    address: SocketAddr,
-    shard_count: u32,
-) -> Vec<u8> {
+pub(in crate::net) fn render_leaf_request(part: &CallPart, address: SocketAddr) -> Vec<u8> {
     let query_request = &part.query_request;
     let shard = query_request.parts[part.index].shard;
     let timeout_ms = (part.timeout_s * 1000.0).floor().max(1.0) as u64;
     let LeafCall { line, body } = match &query_request.document_id {
         Some(id) => {
-            let routing = routing_value(query_request, shard, shard_count);
+            let routing = routing_value(query_request, shard);
             create_call(query_request, id, &routing, timeout_ms)
         }
         None if part.pre_check => count_call(query_request, shard),
@@ -56,8 +52,8 @@
 
 /// Returns a routing value that selects a shard at a leaf server. Where none can be computed, this is the client's own value, or
 /// the number of the shard if the client named that.
-fn routing_value(query_request: &QueryRequest, shard: u32, shard_count: u32) -> String {
-    routing_value_for(shard, shard_count)
+fn routing_value(query_request: &QueryRequest, shard: u32) -> String {
+    routing_value_for(shard, query_request.shard_count)
         .or_else(|| query_request.routing.clone())
         .unwrap_or_else(|| shard.to_string())
 }
--- a/src/net/client/opensearch/request.rs
+++ b/src/net/client/opensearch/request.rs
@@ -190,6 +190,7 @@
         idempotency_key: created_id.filter(|_| has_key).map(String::from),
         document_id: created_id.map(String::from),
         routing: options.routing().or(created_id).map(String::from),
+        shard_count: deployment.shards,
         payload: text,
         complete_only: !options.allows_partial,
         pre_check_above: options.pre_check_above,
--- a/src/net/client/platform.rs
+++ b/src/net/client/platform.rs
@@ -208,6 +208,7 @@
         ),
         idempotency_key,
         routing: None,
+        shard_count: deployment.shards,
         payload: body.statement,
         complete_only: false,
         pre_check_above: None,
--- a/src/net/replica/connection.rs
+++ b/src/net/replica/connection.rs
@@ -101,8 +101,6 @@
     pub address: SocketAddr,
     /// Protocol of the leaf server.
     pub wire_format: WireFormat,
-    /// Number of shards of the deployment, for requests in HTTP.
-    pub shards: u32,
     /// Number of unwritten bytes above which no call is accepted.
     pub max_waiting_bytes: usize,
 }
@@ -114,7 +112,7 @@
             WireFormat::Search => {
                 let requests: Vec<Vec<u8>> = parts
                     .iter()
-                    .map(|part| opensearch::render_leaf_request(part, self.address, self.shards))
+                    .map(|part| opensearch::render_leaf_request(part, self.address))
                     .collect();
                 EncodedCall {
                     bytes: requests.concat(),
--- a/src/net/replica/pool.rs
+++ b/src/net/replica/pool.rs
@@ -284,7 +284,6 @@
             replica: call.replica,
             address: call.address,
             wire_format: call.wire_format,
-            shards: runtime.deployment.shards,
             max_waiting_bytes: self.max_waiting_bytes,
         };
         let connection = ReplicaConnection::new(stream, setup, runtime.now);
--- a/src/requests/query_request.rs
+++ b/src/requests/query_request.rs
@@ -41,6 +41,8 @@
     pub document_id: Option<String>,
     /// Routing value by which the client selected the shard of a document; `None` if it selected shards by number.
     pub routing: Option<String>,
+    /// Number of shards in the settings by which the query's shards were selected.
+    pub shard_count: u32,
     /// Payload sent with every part.
     pub payload: String,
     /// Whether the client accepts only a complete answer.
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -32,7 +32,6 @@
         replica: ReplicaId(1),
         address,
         wire_format: WireFormat::Frames,
-        shards: 4,
         max_waiting_bytes: 1 << 16,
     };
     (listener, ReplicaConnection::new(stream, setup, 0.0))
