SIGHUP keeps the stored settings also before a majority has answered

Cause: has_settings went by the values that a majority had returned since the start. Change: StorePeers counts the settings of the data folder as applied, which they are. Test before the fix: exchange store-restored-settings failed, the stored class was unknown.

--- a/src/net/store_peers.rs
+++ b/src/net/store_peers.rs
@@ -147,14 +147,17 @@
         );
         runtime.log(&line);
         runtime.timers.add(runtime.now, Deadline::StoreRefresh);
+        // The mixer has started with the settings of the data folder, if there are any.
+        let (_, settings) = setup.registers.get(contents::SETTINGS);
+        let applied = settings.map(|text| (contents::SETTINGS.to_string(), text.to_string()));
         Ok(StorePeers {
+            applied: applied.into_iter().collect(),
             setup,
             listener,
             connections: BTreeMap::new(),
             waiting: VecDeque::new(),
             running: None,
             last_operation: 0,
-            applied: BTreeMap::new(),
             quorum: None,
             tasks: Vec::new(),
         })
