Responses to HEAD requests have no body

Seen (by the review, on the wire): HEAD / on the search listener was answered with a body, which the client took for the next response on the connection. Cause: responses are rendered without regard to the method. Change: the client connection notes a HEAD request, and its response keeps the headers alone, errors and pages too. Test before the fix: exchange search-head failed, the body stood before the next response. Result: that exchange passes.

--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -82,6 +82,8 @@
     pub(super) has_disconnected: bool,
     /// Whether the next response closes the connection.
     pub(super) closes_after_response: bool,
+    /// Whether the next response has no body, because it answers a HEAD request.
+    pub(super) omits_body: bool,
     /// Whether `100 Continue` was sent for the request that is being read.
     pub(super) sent_continue: bool,
     /// Number of bytes discarded after the last response.
@@ -112,6 +114,7 @@
             written_bytes: 0,
             has_disconnected: false,
             closes_after_response: false,
+            omits_body: false,
             sent_continue: false,
             discarded_bytes: 0,
             first_request_by: now + FIRST_REQUEST_TIMEOUT_S,
--- a/src/net/client/reading.rs
+++ b/src/net/client/reading.rs
@@ -175,6 +175,7 @@
     ) -> Option<ClientEvent> {
         let client = client_mut(&mut runtime.connections, key)?;
         client.closes_after_response = !message.keep_alive;
+        client.omits_body = message.is_head_request();
         client.sent_continue = false;
         client.first_request_by = f64::MAX;
         match client.protocol {
--- a/src/net/client/writing.rs
+++ b/src/net/client/writing.rs
@@ -4,6 +4,7 @@
 use crate::net::client::connection_error::ConnectionError;
 use crate::net::client::connections::{client_mut, ClientConnections, CloseReason};
 use crate::net::client::{opensearch, platform};
+use crate::net::http;
 use crate::net::runtime::Runtime;
 use crate::net::ConnectionKey;
 use crate::requests::coordinator::{FinalAnswer, QueryRequest};
@@ -22,6 +23,9 @@
             return;
         };
         client.output = bytes;
+        if std::mem::take(&mut client.omits_body) {
+            http::remove_body(&mut client.output);
+        }
         client.written_bytes = 0;
         client.enter(ClientState::Writing, runtime.now);
         client.closes_after_response |= closes;
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -94,6 +94,22 @@
             .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.trim())
     }
+
+    /// Returns whether this is a HEAD request, whose response has no body.
+    pub fn is_head_request(&self) -> bool {
+        matches!(&self.start, StartLine::Request { method, .. } if method == "HEAD")
+    }
+}
+
+/// Removes the body of a serialized response. The headers keep its length, as a response to a HEAD request has to.
+pub fn remove_body(response: &mut Vec<u8>) {
+    const END_OF_HEAD: &[u8] = b"\r\n\r\n";
+    let end = response
+        .windows(END_OF_HEAD.len())
+        .position(|bytes| bytes == END_OF_HEAD);
+    if let Some(end) = end {
+        response.truncate(end + END_OF_HEAD.len());
+    }
 }
 
 /// Method by which the end of a message body is determined.
