--- a/src/net/client/opensearch/hits.rs
+++ b/src/net/client/opensearch/hits.rs
@@ -6,6 +6,11 @@
 use miniserde::json::{Array, Number, Object, Value};
 use std::rc::Rc;
 
+/// Relation of a total that counts all matches.
+const EXACT: &str = "eq";
+/// Relation of a total that counts some of the matches.
+const LOWER_BOUND: &str = "gte";
+
 /// Returns the member `hits` of an answer, merged from the available values of the parts.
 pub(super) fn merge_hits(
     context: &SearchContext,
@@ -14,15 +19,15 @@
 ) -> Value {
     let mut hits = Vec::new();
     let mut total = 0u64;
+    let mut is_lower_bound = false;
     for (part, value) in query_request.parts.iter().zip(values) {
         let Some(text) = value else { continue };
         match parse_object(text).and_then(extract_hits) {
-            Some(PartHits {
-                hits: part_hits,
-                total: reported_total,
-            }) => {
-                total = total.saturating_add(reported_total.unwrap_or(part_hits.len() as u64));
-                hits.extend(part_hits);
+            Some(part_hits) => {
+                let found = part_hits.hits.len() as u64;
+                total = total.saturating_add(part_hits.total.unwrap_or(found));
+                is_lower_bound |= part_hits.is_lower_bound;
+                hits.extend(part_hits.hits);
             }
             None => {
                 hits.push(hit_from_text(&context.index, part, text));
@@ -35,7 +40,8 @@
     let from = usize::try_from(context.from).unwrap_or(usize::MAX);
     let size = usize::try_from(context.size).unwrap_or(usize::MAX);
     let window: Array = hits.into_iter().skip(from).take(size).collect();
-    let total = object([("value", count(total)), ("relation", string("eq"))]);
+    let relation = if is_lower_bound { LOWER_BOUND } else { EXACT };
+    let total = object([("value", count(total)), ("relation", string(relation))]);
     let max_score = best.map_or(Value::Null, |score| Value::Number(Number::F64(score)));
     object([
         ("total", total),
@@ -48,6 +54,8 @@
     hits: Array,
     /// Total number of matches that the leaf server reports, if any.
     total: Option<u64>,
+    /// Whether there may be more matches than the total.
+    is_lower_bound: bool,
 }
 
 /// Extracts the hits from the value of a part. Returns `None` if the value contains no list of hits.
@@ -60,7 +68,16 @@
         Some(number) => as_count(number),
         None => None,
     };
-    Some(PartHits { hits, total })
+    let relation = match answer.get("total") {
+        Some(Value::Object(total)) => total.get("relation"),
+        _ => None,
+    };
+    let is_lower_bound = matches!(relation, Some(Value::String(text)) if text == LOWER_BOUND);
+    Some(PartHits {
+        hits,
+        total,
+        is_lower_bound,
+    })
 }
 
 /// Converts a value that is not a list of hits, from a leaf server that uses the frame protocol, to a single hit.
