Handlers of new settings stand with the operators' other handlers

Cause: net/discovery/routing.rs held the reload of settings, which is used by SIGHUP and the store and has nothing to do with discovery. Change: moved to net/operator_routing.rs; the switch to another discovery stays with discovery.

--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -91,7 +91,7 @@
     }
 
     /// Applies the drain grace of new settings (seconds).
-    pub(super) fn set_drain_grace(&mut self, drain_grace_s: f64) {
+    pub(in crate::net) fn set_drain_grace(&mut self, drain_grace_s: f64) {
         self.lease.set_drain_grace(drain_grace_s);
     }
 
--- a/src/net/discovery/routing.rs
+++ b/src/net/discovery/routing.rs
@@ -1,7 +1,6 @@
-//! Connects the client of discovery and the reload of the configuration to the other subsystems of the event loop. Each
-//! method calls one subsystem and passes its result to the next.
+//! Connects the client of discovery to the other subsystems of the event loop. Each method calls one subsystem and passes its
+//! result to the next.
 
-use crate::config::Deployment;
 use crate::decisions::api::ReplicaEntry;
 use crate::net::discovery::answers::{
     AnswerContent, AnsweredCall, FailedCall, ListAnswer, PreviousCalls, ReadOutcome,
@@ -12,14 +11,12 @@
 use crate::net::event_loop::{Mixer, PollEvents};
 use crate::net::http::Message;
 use crate::net::lifecycle::Phase;
-use crate::net::reload::{self, ReloadOutcome};
 use crate::net::tokens::token;
 use crate::net::ConnectionKey;
 use miniserde::json::Value;
 use mio::net::TcpStream;
 use mio::Token;
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 /// A connection to a replica that must not receive new requests.
 struct UnreadyConnection {
@@ -47,6 +44,14 @@
         self.execute(step);
     }
 
+    /// Switches to another discovery.
+    pub(in crate::net) fn change_discovery(&mut self, address: SocketAddr) {
+        self.runtime
+            .log(&format!("reload: switching to discovery {address}"));
+        self.discovery.switch_to(&mut self.runtime, address);
+        self.call_discovery();
+    }
+
     /// Executes the steps of the client of discovery until it waits.
     fn execute(&mut self, first: Step) {
         let mut step = first;
@@ -320,59 +325,3 @@
         self.call_discovery();
     }
 }
-
-// The reload of the configuration.
-impl Mixer {
-    /// Logs which classes have two-phase queries, if any.
-    pub(in crate::net) fn log_phases(&mut self) {
-        reload::log_phases(&mut self.runtime);
-    }
-
-    /// Handles SIGHUP: reads the configuration again. Requests and connections are kept; an invalid file changes nothing.
-    pub(in crate::net) fn reload_requested(&mut self) {
-        let ReloadOutcome::Accepted {
-            deployment,
-            discovery,
-        } = self.reload.reload_config(&mut self.runtime)
-        else {
-            return;
-        };
-        // Settings stored by the operators take precedence over the file.
-        if !self.has_stored_settings() {
-            self.accept_settings(*deployment);
-        }
-        match discovery {
-            Some(address) => self.change_discovery(address),
-            None => self.runtime.log("reload: discovery unchanged"),
-        }
-    }
-
-    /// Accepts valid settings, which are applied after a short delay.
-    pub(in crate::net) fn accept_settings(&mut self, deployment: Deployment) {
-        self.reload.accept_settings(&mut self.runtime, deployment);
-    }
-
-    /// Applies each of the accepted settings that are due, and ends restrictions that are over.
-    pub(in crate::net) fn apply_due_settings(&mut self) {
-        while let Some(deployment) = self.reload.take_due_settings(&self.runtime) {
-            self.apply_settings(deployment);
-        }
-    }
-
-    fn apply_settings(&mut self, deployment: Rc<Deployment>) {
-        self.runtime.directory.set_zones(deployment.zones.clone());
-        self.runtime.deployment = deployment.clone();
-        self.discovery
-            .set_drain_grace(deployment.policy.drain_grace_s);
-        self.publish_lease();
-        reload::apply_settings(&mut self.runtime, deployment);
-    }
-
-    /// Switches to another discovery.
-    fn change_discovery(&mut self, address: SocketAddr) {
-        self.runtime
-            .log(&format!("reload: switching to discovery {address}"));
-        self.discovery.switch_to(&mut self.runtime, address);
-        self.call_discovery();
-    }
-}
--- a/src/net/operator_routing.rs
+++ b/src/net/operator_routing.rs
@@ -1,9 +1,9 @@
-//! Integration of the admin interface, the store and VRRP into the event loop.
+//! Integration of the admin interface, the store, the reload of settings and VRRP into the event loop.
 //!
 //! The methods of [`Mixer`] here call one of these subsystems and forward its results to clients, the endpoint list, the
 //! settings, the listeners and the lifecycle of the process.
 
-use crate::config::{StoreSetup, VrrpSetup};
+use crate::config::{Deployment, StoreSetup, VrrpSetup};
 use crate::net::admin::{
     phase_text, AcceptResult, AdminCall, AdminServer, MetricsSources, MAX_ACCEPTS_PER_ITERATION,
     UNKNOWN_CALL_REPLY,
@@ -12,6 +12,7 @@
 use crate::net::event_loop::Mixer;
 use crate::net::http;
 use crate::net::lifecycle::Phase;
+use crate::net::reload::{self, ReloadOutcome};
 use crate::net::store_peers::{
     completed_body, CompletedOperation, Quorum, Requester, StorePeers, StoredChange,
 };
@@ -20,6 +21,7 @@
 use crate::store::StoreError;
 use crate::vrrp::Event;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// Limit on the names in a log line. Above the limit only their number is logged.
 const MAX_LOGGED_NAMES: usize = 20;
@@ -267,6 +269,54 @@
     }
 }
 
+/// Handlers of new settings, from the configuration file and from the store.
+impl Mixer {
+    /// Logs which classes have two-phase queries, if any.
+    pub(super) fn log_phases(&mut self) {
+        reload::log_phases(&mut self.runtime);
+    }
+
+    /// Handles SIGHUP: reads the configuration again. Requests and connections are kept; an invalid file changes nothing.
+    pub(super) fn reload_requested(&mut self) {
+        let ReloadOutcome::Accepted {
+            deployment,
+            discovery,
+        } = self.reload.reload_config(&mut self.runtime)
+        else {
+            return;
+        };
+        // Settings stored by the operators take precedence over the file.
+        if !self.has_stored_settings() {
+            self.accept_settings(*deployment);
+        }
+        match discovery {
+            Some(address) => self.change_discovery(address),
+            None => self.runtime.log("reload: discovery unchanged"),
+        }
+    }
+
+    /// Accepts valid settings, which are applied after a short delay.
+    pub(super) fn accept_settings(&mut self, deployment: Deployment) {
+        self.reload.accept_settings(&mut self.runtime, deployment);
+    }
+
+    /// Applies each of the accepted settings that are due, and ends restrictions that are over.
+    pub(super) fn apply_due_settings(&mut self) {
+        while let Some(deployment) = self.reload.take_due_settings(&self.runtime) {
+            self.apply_settings(deployment);
+        }
+    }
+
+    fn apply_settings(&mut self, deployment: Rc<Deployment>) {
+        self.runtime.directory.set_zones(deployment.zones.clone());
+        self.runtime.deployment = deployment.clone();
+        self.discovery
+            .set_drain_grace(deployment.policy.drain_grace_s);
+        self.publish_lease();
+        reload::apply_settings(&mut self.runtime, deployment);
+    }
+}
+
 /// Handlers of VRRP.
 impl Mixer {
     /// Opens the VRRP socket and starts the virtual router. The client listeners are open only while the router is Active.
