A VRRP router with requests in flight is not preempted by a returning one

Cause: with preempt a Backup ignores lower priorities, and advertisements did not tell that the Active router had work in flight. Change: a busy Active router advertises 254, the highest priority that is not the owner's, and insists on it.

--- a/src/net/vrrp_socket.rs
+++ b/src/net/vrrp_socket.rs
@@ -101,6 +101,8 @@
         event: Event,
     ) -> Option<VrrpChange> {
         let before = self.router.state();
+        self.router
+            .set_busy(runtime.coordinator.open_requests() > 0);
         if let Some(advertisement) = self.router.handle(runtime.now, event) {
             let bytes = advertisement.encode();
             for peer in &self.peers {
--- a/src/vrrp.rs
+++ b/src/vrrp.rs
@@ -20,6 +20,9 @@
 const MAX_ADDRESSES: usize = 255;
 /// Priority of the address owner.
 const OWNER_PRIORITY: u8 = 255;
+/// Lowest priority that an Active router advertises while requests are in flight: the highest one that is not the owner's, so
+/// that no returning router takes the addresses over work in flight.
+const BUSY_PRIORITY: u8 = OWNER_PRIORITY - 1;
 /// Priority that an Active router advertises when it stops.
 const STOPPING_PRIORITY: u8 = 0;
 /// Number of intervals without an advertisement after which, plus the skew time, a Backup router takes over.
@@ -167,6 +170,8 @@
     active_interval_cs: u16,
     /// Expiry of the Active_Down_Timer in state Backup, or of the Adver_Timer in state Active.
     timer_at: Option<f64>,
+    /// Whether requests are in flight.
+    is_busy: bool,
 }
 
 impl Router {
@@ -179,6 +184,21 @@
             config,
             state: State::Initialize,
             timer_at: None,
+            is_busy: false,
+        }
+    }
+
+    /// Sets whether requests are in flight. An Active router that is busy yields only to the address owner.
+    pub fn set_busy(&mut self, is_busy: bool) {
+        self.is_busy = is_busy;
+    }
+
+    /// Returns the priority that the router has while it is Active.
+    fn active_priority(&self) -> u8 {
+        if self.is_busy {
+            self.config.priority.max(BUSY_PRIORITY)
+        } else {
+            self.config.priority
         }
     }
 
@@ -216,7 +236,7 @@
     fn advertise(&mut self, now: f64) -> Option<Advertisement> {
         self.state = State::Active;
         self.timer_at = Some(now + f64::from(self.config.interval_cs) / 100.0);
-        Some(self.advertisement(self.config.priority))
+        Some(self.advertisement(self.active_priority()))
     }
 
     /// Enters or stays in state Backup, and restarts the timer with the interval of the Active router.
@@ -275,7 +295,7 @@
             return None;
         }
         let theirs = (received.priority, from);
-        let ours = (self.config.priority, self.config.primary);
+        let ours = (self.active_priority(), self.config.primary);
         if received.priority != STOPPING_PRIORITY && theirs > ours {
             self.become_backup(now, received.interval_cs);
             None
--- a/src/vrrp/tests.rs
+++ b/src/vrrp/tests.rs
@@ -137,3 +137,37 @@
         (State::Active, false)
     );
 }
+
+/// Guards against a returning router that takes the addresses while the requests of the other one are in flight.
+#[test]
+fn an_active_router_yields_to_a_higher_priority_only_without_requests_in_flight() {
+    let mut active = router(100, LOW, true);
+    active.handle(0.0, Event::Startup);
+    active.handle(9.0, Event::Timer);
+    active.set_busy(true);
+    let sent = active.handle(10.0, Event::Timer).expect("is Active");
+    assert_eq!(sent.priority, BUSY_PRIORITY);
+    // The returning router has a higher priority, but stays Backup.
+    let mut returning = router(200, HIGH, true);
+    returning.handle(10.0, Event::Startup);
+    returning.handle(12.0, received(LOW, sent.priority));
+    assert_eq!(returning.handle(13.3, Event::Timer), None);
+    assert_eq!(returning.state(), State::Backup);
+    // It has missed the advertisements, and both are Active: the busy one insists.
+    let sent = active.handle(13.5, received(HIGH, 200));
+    assert_eq!(sent.map(|sent| sent.priority), Some(BUSY_PRIORITY));
+    assert_eq!(active.state(), State::Active);
+    active.set_busy(false);
+    active.handle(14.0, received(HIGH, 200));
+    assert_eq!(active.state(), State::Backup);
+}
+
+#[test]
+fn a_busy_router_yields_to_the_address_owner() {
+    let mut active = router(100, LOW, true);
+    active.handle(0.0, Event::Startup);
+    active.handle(9.0, Event::Timer);
+    active.set_busy(true);
+    active.handle(10.0, received(HIGH, OWNER_PRIORITY));
+    assert_eq!(active.state(), State::Backup);
+}
