--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -8,6 +8,8 @@
 mod sections;
 mod transition;
 
+pub use transition::EffectChange;
+
 use super::bounds::{check_choice, check_range};
 use super::fault;
 use super::SettingsError;
@@ -18,7 +20,6 @@
 use phases::PhasesJson;
 use sections::{FamilyJson, PermissionsJson, RulesJson, TenantJson};
 use std::collections::BTreeMap;
-pub use transition::EffectChange;
 
 /// Default of [`Deployment::max_in_flight`].
 const MAX_IN_FLIGHT: u32 = 1000;
