--- a/src/net/discovery/connection.rs
+++ b/src/net/discovery/connection.rs
@@ -288,7 +288,7 @@
     }
 
     /// Marks an answer as the last one on its connection if more bytes follow it in the socket, as the reader does for those in
-    /// the buffer.
+    /// the buffer, or if discovery has closed its side.
     fn without_surplus(&self, mut message: Message) -> Message {
         message.keep_alive &= matches!(has_unread_input(&self.stream), Ok(false));
         message
