Log and count long iterations, invalid requests and closes by the mixer

The records of the incident do not tell whether a mixer that 'was stalled' had too much work or too little processor time. Error responses before the coordinator, and connections that the mixer closes, are logged with the client's address, status and reason. Lines about the input of peers have a limit of their own, and each limit says how many lines were left out. No change in behaviour.

--- a/src/net/admin/metrics_text.rs
+++ b/src/net/admin/metrics_text.rs
@@ -1,6 +1,7 @@
 //! Rendering of the metrics in Prometheus text format.
 
 use crate::net::client::connections::CloseReason;
+use crate::net::loop_metrics::LoopMetrics;
 use crate::net::tokens::PROTOCOLS;
 use crate::requests::coordinator::Coordinator;
 use crate::requests::invariants::Invariant;
@@ -24,6 +25,12 @@
     pub(in crate::net) missing_answers: u64,
     /// Number of closed client connections, by reason.
     pub(in crate::net) closed_clients: &'a BTreeMap<CloseReason, u64>,
+    /// Number of error responses to requests that could not be parsed or were invalid, by status.
+    pub(in crate::net) invalid_requests: &'a BTreeMap<u16, u64>,
+    /// Counters of the event loop.
+    pub(in crate::net) loop_metrics: LoopMetrics,
+    /// Number of pending deadlines.
+    pub(in crate::net) timers: usize,
 }
 
 impl MetricsSources<'_> {
@@ -44,6 +51,7 @@
         self.write_reasons(&metrics, &mut out);
         write_class_details(&metrics, &mut out);
         self.write_two_phase_counters(&mut out);
+        self.write_loop_metrics(&mut out);
         out
     }
 
@@ -123,6 +131,26 @@
         for (reason, count) in self.closed_clients {
             line("clients_closed", "reason", reason.label(), *count);
         }
+        for (status, count) in self.invalid_requests {
+            line("invalid_requests", "status", &status.to_string(), *count);
+        }
+    }
+
+    /// Writes the counters of the event loop, and the processor time of the process.
+    fn write_loop_metrics(&self, out: &mut String) {
+        let LoopMetrics {
+            iterations,
+            long_iterations,
+            longest_s,
+            ..
+        } = self.loop_metrics;
+        let _ = writeln!(out, "svc_loop_iterations_total {iterations}");
+        let _ = writeln!(out, "svc_loop_long_iterations_total {long_iterations}");
+        let _ = writeln!(out, "svc_loop_longest_iteration_s {longest_s:.6}");
+        let _ = writeln!(out, "svc_timers {}", self.timers);
+        if let Some(cpu_s) = processor_time_s() {
+            let _ = writeln!(out, "svc_cpu_seconds_total {cpu_s:.3}");
+        }
     }
 
     /// Writes the counters of two-phase queries, by class.
@@ -153,6 +181,13 @@
     }
 }
 
+/// Returns the processor time of the process (seconds), where the system tells it.
+fn processor_time_s() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/self/schedstat").ok()?;
+    let nanoseconds: f64 = text.split_whitespace().next()?.parse().ok()?;
+    Some(nanoseconds * 1e-9)
+}
+
 /// Writes further request counters of each class.
 fn write_class_details(metrics: &Metrics, out: &mut String) {
     for (class, counts) in &metrics.classes {
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -8,6 +8,7 @@
 use crate::requests::coordinator::{Protocol, RequestKey};
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
+use std::net::SocketAddr;
 
 /// Buffer size for one read from a socket.
 pub(super) const READ_BUFFER_BYTES: usize = 16 * 1024;
@@ -65,6 +66,8 @@
 /// Connection of one client.
 pub(in crate::net) struct ClientConnection {
     pub(super) stream: TcpStream,
+    /// Address of the client, for log lines.
+    pub(super) peer: Option<SocketAddr>,
     pub(super) protocol: Protocol,
     /// Context of the request in flight, for the search API only.
     pub(super) search_context: Option<SearchContext>,
@@ -103,6 +106,7 @@
         now: f64,
     ) -> ClientConnection {
         ClientConnection {
+            peer: stream.peer_addr().ok(),
             stream,
             protocol,
             search_context: None,
--- a/src/net/client/connections.rs
+++ b/src/net/client/connections.rs
@@ -21,6 +21,7 @@
 use slotmap::SlotMap;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
+use std::net::SocketAddr;
 
 /// Limit on the body of a query.
 const MAX_QUERY_BYTES: usize = 64 * 1024;
@@ -83,6 +84,16 @@
     IdleTimeout,
 }
 
+/// Request that is answered with an error before it reaches the request coordinator.
+pub(super) struct InvalidRequest<'a> {
+    /// Status of the response.
+    pub(super) status: u16,
+    /// Description of the error.
+    pub(super) reason: &'a dyn std::fmt::Display,
+    /// Client's id of the request, if it was received.
+    pub(super) id: Option<&'a str>,
+}
+
 /// State of other subsystems that affects how clients are served, taken at the time of a call.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ServingConditions {
@@ -100,6 +111,8 @@
     count: usize,
     /// Number of closed connections since the start, by reason.
     closed: BTreeMap<CloseReason, u64>,
+    /// Number of error responses to requests that could not be parsed or were invalid, by status.
+    invalid_requests: BTreeMap<u16, u64>,
     /// Connections to read again after a response, because input may have arrived while the response was written.
     pub(super) resumed: Vec<ConnectionKey>,
     /// Number of clients above which each response closes its connection.
@@ -122,6 +135,7 @@
         ClientConnections {
             count: 0,
             closed: BTreeMap::new(),
+            invalid_requests: BTreeMap::new(),
             resumed: Vec::new(),
             close_after_response_above: (CLOSE_AFTER_RESPONSE_SHARE * max_descriptors as f64
                 / DESCRIPTOR_DIVISOR) as usize,
@@ -141,6 +155,29 @@
         &self.closed
     }
 
+    /// Returns the number of error responses to requests that could not be parsed or were invalid, by status.
+    pub(in crate::net) fn invalid_requests(&self) -> &BTreeMap<u16, u64> {
+        &self.invalid_requests
+    }
+
+    /// Counts and logs a request that is answered with an error because it could not be parsed or is invalid. `id` is the
+    /// client's id of the request, if it was received.
+    pub(super) fn record_invalid(
+        &mut self,
+        runtime: &mut Runtime,
+        key: ConnectionKey,
+        invalid: &InvalidRequest,
+    ) {
+        increment(&mut self.invalid_requests, invalid.status);
+        let client = client_mut(&mut runtime.connections, key);
+        let peer = peer_text(client.and_then(|client| client.peer));
+        let InvalidRequest { status, reason, id } = invalid;
+        runtime.log_peer(|| {
+            let id = id.unwrap_or("unknown");
+            format!("client {peer}: request {id} answered {status} ({reason})")
+        });
+    }
+
     /// Returns whether so many clients are connected that each response has to close its connection. Otherwise clients that
     /// send one request and keep their connection open could use up all connections, and a new client could not connect
     /// until the idle timeout.
@@ -331,6 +368,14 @@
         let Some(client) = client_mut(&mut runtime.connections, key) else {
             return;
         };
+        if !reason.is_by_client() {
+            let peer = peer_text(client.peer);
+            runtime
+                .log
+                .write_peer(runtime.now, runtime.clock.elapsed_s(runtime.now), || {
+                    format!("client {peer}: connection closed ({})", reason.label())
+                });
+        }
         if client.has_request() && !reason.is_by_client() {
             let rule = Invariant::Unanswered;
             runtime.coordinator.invariants_mut().violated(rule);
@@ -345,6 +390,10 @@
     }
 }
 
+fn peer_text(peer: Option<SocketAddr>) -> String {
+    peer.map_or("unknown".into(), |peer| peer.to_string())
+}
+
 /// Returns the client connection with this key, if it is still open.
 pub(super) fn client_mut(
     connections: &mut SlotMap<ConnectionKey, Connection>,
--- a/src/net/client/opensearch/error.rs
+++ b/src/net/client/opensearch/error.rs
@@ -72,7 +72,7 @@
 
 impl SearchError {
     /// Returns the HTTP status of the error response.
-    pub(super) fn status(&self) -> u16 {
+    pub(in crate::net::client) fn status(&self) -> u16 {
         match self {
             SearchError::Connection(error) => error.status(),
             SearchError::MethodNotAllowed { .. } => 405,
--- a/src/net/client/platform.rs
+++ b/src/net/client/platform.rs
@@ -124,7 +124,7 @@
 
 impl PlatformError {
     /// Returns the HTTP status of the error response.
-    fn status(&self) -> u16 {
+    pub(super) fn status(&self) -> u16 {
         match self {
             PlatformError::MethodNotAllowed => 405,
             PlatformError::UnknownClass => 404,
--- a/src/net/client/reading.rs
+++ b/src/net/client/reading.rs
@@ -5,7 +5,7 @@
 use crate::net::client::connection::{ClientState, SocketRead, READ_BUFFER_BYTES};
 use crate::net::client::connection_error::ConnectionError;
 use crate::net::client::connections::{
-    client_mut, ClientConnections, ClientEvent, CloseReason, ServingConditions,
+    client_mut, ClientConnections, ClientEvent, CloseReason, InvalidRequest, ServingConditions,
 };
 use crate::net::client::opensearch::{self, SearchContext, SearchRequest};
 use crate::net::client::platform::{self, PlatformError, PlatformRequest};
@@ -173,6 +173,7 @@
         message: Message,
         conditions: ServingConditions,
     ) -> Option<ClientEvent> {
+        runtime.loop_metrics.count_message();
         let client = client_mut(&mut runtime.connections, key)?;
         client.closes_after_response = !message.keep_alive;
         client.omits_body = message.is_head_request();
@@ -203,6 +204,12 @@
             }
             Err(error) => error,
         };
+        let invalid = InvalidRequest {
+            status: error.status(),
+            reason: &error,
+            id: message.header("x-request-id"),
+        };
+        self.record_invalid(runtime, key, &invalid);
         self.respond(runtime, key, error.response(), true);
         None
     }
@@ -229,7 +236,16 @@
             }
             Ok(SearchRequest::Page) => return Some(ClientEvent::Page(message)),
             Ok(SearchRequest::Root) => opensearch::render_root(&runtime.name, closes),
-            Err(error) => opensearch::render_error(&error, message.header("x-opaque-id"), closes),
+            Err(error) => {
+                let opaque = message.header("x-opaque-id");
+                let invalid = InvalidRequest {
+                    status: error.status(),
+                    reason: &error,
+                    id: opaque,
+                };
+                self.record_invalid(runtime, key, &invalid);
+                opensearch::render_error(&error, opaque, closes)
+            }
         };
         self.respond(runtime, key, bytes, closes);
         None
--- a/src/net/client/routing.rs
+++ b/src/net/client/routing.rs
@@ -44,7 +44,7 @@
                     _ => {
                         // Out of descriptors or memory. The connections stay in the accept queue, and the edge-triggered
                         // poll does not report them again, so a timer retries.
-                        self.runtime.log(&format!("accept: {error}"));
+                        self.runtime.log_peer(|| format!("accept: {error}"));
                         self.free_descriptor_after(&error);
                         self.runtime
                             .timers
--- a/src/net/client/writing.rs
+++ b/src/net/client/writing.rs
@@ -2,7 +2,7 @@
 
 use crate::net::client::connection::{ClientState, WriteProgress};
 use crate::net::client::connection_error::ConnectionError;
-use crate::net::client::connections::{client_mut, ClientConnections, CloseReason};
+use crate::net::client::connections::{client_mut, ClientConnections, CloseReason, InvalidRequest};
 use crate::net::client::{opensearch, platform};
 use crate::net::http;
 use crate::net::runtime::Runtime;
@@ -44,6 +44,12 @@
             return;
         };
         let bytes = error.response(client.protocol);
+        let invalid = InvalidRequest {
+            status: error.status(),
+            reason: &error,
+            id: None,
+        };
+        self.record_invalid(runtime, key, &invalid);
         self.respond(runtime, key, bytes, true);
     }
 
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -184,6 +184,7 @@
     /// Sets the time of this iteration and records whether the process was stalled during the wait.
     fn begin_iteration(&mut self, woke_at: f64, stall_detector: &mut StallDetector) {
         let runtime = &mut self.runtime;
+        runtime.loop_metrics.begin_iteration();
         runtime.now = woke_at;
         runtime.previous_iteration_at = runtime.iteration_started_at;
         runtime.iteration_started_at = runtime.now;
@@ -200,6 +201,9 @@
     fn advance_to_deadlines(&mut self, woke_at: f64, stall_detector: &mut StallDetector) {
         let now = self.runtime.clock.now();
         stall_detector.record_iteration(now - woke_at, self.runtime.iteration_started_at);
+        if let Some(line) = self.runtime.loop_metrics.end_iteration(now - woke_at) {
+            self.runtime.log(&line);
+        }
         if now <= woke_at + lease::MAX_LOOP_DELAY_S {
             self.runtime.now = now;
         }
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -1,5 +1,5 @@
-//! Log lines on standard error, limited to a number of lines per second. Lines about single requests have a limit of their own,
-//! so that they cannot displace lines about the whole mixer.
+//! Log lines on standard error, limited to a number of lines per second. Lines about single requests, and lines about what a peer
+//! has sent, have limits of their own, so that they cannot displace lines about the whole mixer.
 
 use std::io::{self, Write};
 
@@ -7,6 +7,8 @@
 const MAX_MIXER_LINES_PER_S: u32 = 50;
 /// Maximum number of lines per second about single requests.
 const MAX_REQUEST_LINES_PER_S: u32 = 5;
+/// Maximum number of lines per second about the input of peers that cannot be used.
+const MAX_PEER_LINES_PER_S: u32 = 5;
 
 /// A limit on the number of lines per second.
 #[derive(Debug)]
@@ -47,6 +49,7 @@
 pub(super) struct Log {
     mixer: LineLimit,
     requests: LineLimit,
+    peers: LineLimit,
 }
 
 impl Log {
@@ -55,29 +58,39 @@
         Log {
             mixer: LineLimit::new(MAX_MIXER_LINES_PER_S, now),
             requests: LineLimit::new(MAX_REQUEST_LINES_PER_S, now),
+            peers: LineLimit::new(MAX_PEER_LINES_PER_S, now),
         }
     }
 
     /// Writes a line about the mixer as a whole, unless the limit on such lines is exceeded. `age_s` is the time since the
     /// start of the process.
     pub(super) fn write(&mut self, now: f64, age_s: f64, line: &str) {
-        if self.mixer.count_line(now).is_some() {
-            write_line(age_s, line);
-        }
+        write_limited(&mut self.mixer, now, age_s, || line.to_string());
     }
 
     /// Writes a line about one request, unless the limit on such lines is exceeded; `line` is evaluated only if the line is
     /// written.
     pub(super) fn write_request(&mut self, now: f64, age_s: f64, line: impl FnOnce() -> String) {
-        let Some(suppressed) = self.requests.count_line(now) else {
-            return;
-        };
-        let mut line = line();
-        if suppressed > 0 {
-            line += &format!(" ({suppressed} such lines were left out before)");
-        }
-        write_line(age_s, &line);
+        write_limited(&mut self.requests, now, age_s, line);
+    }
+
+    /// Writes a line about a peer's input, unless the limit on such lines is exceeded; `line` is evaluated only if the line is
+    /// written.
+    pub(super) fn write_peer(&mut self, now: f64, age_s: f64, line: impl FnOnce() -> String) {
+        write_limited(&mut self.peers, now, age_s, line);
+    }
+}
+
+/// Writes a line with the number of lines suppressed before, unless the limit is exceeded.
+fn write_limited(limit: &mut LineLimit, now: f64, age_s: f64, line: impl FnOnce() -> String) {
+    let Some(suppressed) = limit.count_line(now) else {
+        return;
+    };
+    let mut line = line();
+    if suppressed > 0 {
+        line += &format!(" ({suppressed} such lines were left out before)");
     }
+    write_line(age_s, &line);
 }
 
 fn write_line(age_s: f64, line: &str) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,6 +13,7 @@
 mod lifecycle_routing;
 mod listeners;
 mod log;
+mod loop_metrics;
 mod operator_routing;
 mod reload;
 pub mod replica;
--- a/src/net/operator_routing.rs
+++ b/src/net/operator_routing.rs
@@ -109,6 +109,9 @@
             rejected_configurations: self.reload.rejected(),
             missing_answers: self.discovery.lost_answers(),
             closed_clients: self.clients.closed(),
+            invalid_requests: self.clients.invalid_requests(),
+            loop_metrics: self.runtime.loop_metrics,
+            timers: self.runtime.timers.len(),
         }
     }
 
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -7,6 +7,7 @@
 use crate::net::connection_table::Connection;
 use crate::net::discovery::lease::MAX_LOOP_DELAY_S;
 use crate::net::log::Log;
+use crate::net::loop_metrics::LoopMetrics;
 use crate::net::timer_queue::{Deadline, TimerQueue};
 use crate::net::tokens::token;
 use crate::requests::coordinator::{Command, Coordinator};
@@ -31,6 +32,7 @@
     pub(in crate::net) previous_iteration_at: f64,
     pub(in crate::net) timers: TimerQueue,
     pub(in crate::net) log: Log,
+    pub(in crate::net) loop_metrics: LoopMetrics,
     /// Source of jitter, which prevents the mixers of a fleet from acting at the same time.
     pub(in crate::net) rng: oorandom::Rand64,
     pub(in crate::net) connections: SlotMap<ConnectionKey, Connection>,
@@ -62,6 +64,13 @@
             .write_request(self.now, self.clock.elapsed_s(self.now), line);
     }
 
+    /// Logs a line about the input of a peer, unless the limit on such lines is exceeded; `line` is evaluated only if the line is
+    /// written.
+    pub(in crate::net) fn log_peer(&mut self, line: impl FnOnce() -> String) {
+        self.log
+            .write_peer(self.now, self.clock.elapsed_s(self.now), line);
+    }
+
     /// Registers a connection with the poll. A failed registration is logged and retried after a delay.
     pub(in crate::net) fn register(&mut self, key: ConnectionKey) {
         let Some(connection) = self.connections.get_mut(key) else {
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -10,6 +10,7 @@
 use crate::net::lifecycle::Lifecycle;
 use crate::net::listeners::Listeners;
 use crate::net::log::Log;
+use crate::net::loop_metrics::LoopMetrics;
 use crate::net::reload::Reload;
 use crate::net::replica::pool::ReplicaConnections;
 use crate::net::runtime::Runtime;
@@ -148,6 +149,7 @@
         previous_iteration_at: now,
         timers: TimerQueue::default(),
         log: Log::new(now),
+        loop_metrics: LoopMetrics::default(),
         rng: oorandom::Rand64::new(u128::from(setup.seed) + 1),
         connections: SlotMap::with_key(),
         max_connections: setup.max_connections,
--- a/src/net/timer_queue.rs
+++ b/src/net/timer_queue.rs
@@ -60,6 +60,11 @@
         self.deadlines.insert((microseconds(at.max(0.0)), deadline));
     }
 
+    /// Returns the number of deadlines.
+    pub(super) fn len(&self) -> usize {
+        self.deadlines.len()
+    }
+
     /// Returns the time until the first deadline, or `None` if there is no deadline.
     pub(super) fn wait(&self, now: f64) -> Option<Duration> {
         let (at, _) = self.deadlines.first()?;
--- a/src/net/vrrp_socket.rs
+++ b/src/net/vrrp_socket.rs
@@ -88,7 +88,7 @@
                         advertisement,
                     })
                 }
-                Err(error) => runtime.log(&format!("vrrp: from {from}: {error}")),
+                Err(error) => runtime.log_peer(|| format!("vrrp: from {from}: {error}")),
             }
         }
     }
