Flood experiment: other clients and memory of a mixer that one kind of peer floods

One kind of peer at a time sends at full speed to a real mixer, or holds its memory, while four other clients send queries; their answers have to come in time, and memory has to stay flat.

--- a/crates/wharfhub-testbed/src/daemon.rs
+++ b/crates/wharfhub-testbed/src/daemon.rs
@@ -1,21 +1,34 @@
 //! Daemon processes under test on loopback, started with a scenario's settings.
 
 use crate::site::Scenario;
-use std::io::{self, BufRead, BufReader};
+use std::io::{self, BufRead, BufReader, PipeWriter, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Longest wait for a log line.
 const MAX_LOG_WAIT: Duration = Duration::from_secs(10);
+/// Interval at which the reader of a log that is left unread checks whether the process has ended.
+const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Capacity of a pipe (Linux), and the part of it that is left for a daemon whose log is not read.
+const PIPE_BYTES: usize = 65_536;
+const LOG_ROOM_BYTES: usize = 4096;
+/// Buffer of the thread that reads the log.
+const LOG_BUFFER_BYTES: usize = 1024;
 
 /// Running mixer process; killed on drop, which also removes its configuration file.
 pub struct Daemon {
     child: Child,
     config_file: PathBuf,
     log: Receiver<String>,
+    /// Writing end of the daemon's standard error.
+    log_pipe: PipeWriter,
+    /// Whether the thread that reads the log has stopped reading.
+    is_log_unread: Arc<AtomicBool>,
     /// Address at which it accepts clients.
     pub address: SocketAddr,
 }
@@ -93,24 +106,36 @@
         std::process::id()
     ));
     std::fs::write(&config_file, config)?;
-    let mut child = Command::new(program)
+    let (errors, log_pipe) = std::io::pipe()?;
+    let child = Command::new(program)
         .args(["serve", "--config"])
         .arg(&config_file)
-        .stderr(Stdio::piped())
+        .stderr(log_pipe.try_clone()?)
         .spawn()?;
-    let errors = child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?;
     let (lines, log) = channel();
+    let is_log_unread = Arc::new(AtomicBool::new(false));
+    let stops_reading = is_log_unread.clone();
     std::thread::spawn(move || {
-        BufReader::new(errors)
+        for line in BufReader::with_capacity(LOG_BUFFER_BYTES, errors)
             .lines()
             .map_while(Result::ok)
-            .all(|line| lines.send(line).is_ok())
+        {
+            // The pipe has to stay open: a write to a closed one fails at once instead of blocking.
+            while stops_reading.load(Ordering::Relaxed) {
+                std::thread::park_timeout(UNREAD_CHECK_INTERVAL);
+            }
+            if lines.send(line).is_err() {
+                return;
+            }
+        }
     });
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
     let mut daemon = Daemon {
         child,
         config_file,
         log,
+        log_pipe,
+        is_log_unread,
         address,
     };
     let line = daemon.await_log("start: ")?;
@@ -141,6 +166,22 @@
 }
 
 impl Daemon {
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Stops reading the daemon's log, and fills the pipe so that it has room for a few lines.
+    pub fn fill_log_pipe(&mut self) -> io::Result<()> {
+        self.is_log_unread.store(true, Ordering::Relaxed);
+        std::thread::sleep(UNREAD_CHECK_INTERVAL);
+        // The thread that reads the log stops at the first of these lines, which takes one buffer out of the pipe.
+        self.log_pipe.write_all(&[b'\n'; LOG_BUFFER_BYTES])?;
+        std::thread::sleep(UNREAD_CHECK_INTERVAL);
+        self.log_pipe
+            .write_all(&[b'x'; PIPE_BYTES - LOG_ROOM_BYTES])
+    }
+
     /// Reads the CPU time and memory of the process. `schedstat` has a resolution of nanoseconds; `/proc/PID/stat` counts ticks of
     /// 10 ms.
     pub fn usage(&self) -> io::Result<Usage> {
--- a/crates/wharfhub-testbed/src/experiments/mod.rs
+++ b/crates/wharfhub-testbed/src/experiments/mod.rs
@@ -3,6 +3,7 @@
 mod data_path;
 mod decisions;
 mod deployments;
+mod flood;
 mod scale;
 mod soak;
 mod tail;
@@ -63,7 +64,7 @@
 }
 
 /// All experiments, sorted by name.
-pub const ALL: [Experiment; 7] = [
+pub const ALL: [Experiment; 8] = [
     Experiment {
         name: "data-path",
         description: "the daemon's CPU for a query, by the number of its parts",
@@ -79,6 +80,11 @@
         description: "service of both deployments without faults and with each kind of fault",
         run: deployments::run,
     },
+    Experiment {
+        name: "flood",
+        description: "answers to other clients and memory of a real mixer while one kind of peer floods it",
+        run: flood::run,
+    },
     Experiment {
         name: "scale",
         description:
--- a/crates/wharfhub-testbed/src/lib.rs
+++ b/crates/wharfhub-testbed/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod experiments;
 pub mod fit;
 pub mod fleet;
+pub mod flood;
 pub mod journal;
 pub mod load;
 pub mod model;
