Clients at full speed get turns, and no longer hold up the event loop

Cause: an iteration read a client until its socket was empty, and after each response read it again (process_commands, route_client_event, ClientConnections::read), so that a client that sends as fast as it is served never let the iteration end. Evidence: 'an iteration took 3.107 s and handled 425309 messages of clients' at 3.106 s of processor time. Change: a turn of a client ends after one request or eight reads. What is left waits in a queue in order (net/backlog.rs), of which an iteration handles 2 ms; after 10 ms of events the rest waits there, too. The wait shortens the timeout of a query. A listener accepts 32 connections in a turn. Long operators' pages are rendered again after 20 times the time that took, and clients share the text. An idle connection with unread input is closed once that is read.

--- /dev/null
+++ b/crates/wharfhub-testbed/tests/flood.rs
@@ -0,0 +1,42 @@
+//! Tests that no kind of peer that sends at full speed to a real mixer delays the answers to other clients, or makes the mixer's
+//! memory grow.
+
+use rstest::rstest;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+use wharfhub_testbed::flood::{run, FloodKind, FloodOptions};
+
+const OPTIONS: FloodOptions = FloodOptions {
+    length: Duration::from_millis(1500),
+    half_core: false,
+};
+
+/// A client that sent requests which were answered at once held up the whole event loop for as long as it sent (issue 64).
+#[rstest]
+fn other_clients_are_answered_in_time_beside_clients_at_full_speed(
+    #[values(
+        FloodKind::ReadyPage,
+        FloodKind::MetricsPage,
+        FloodKind::EndpointsPage,
+        FloodKind::NewNames,
+        FloodKind::RejectedNames,
+        FloodKind::UnknownClasses,
+        FloodKind::Malformed,
+        FloodKind::EndlessChunks,
+        FloodKind::UnknownIndices,
+        FloodKind::StorePages
+    )]
+    kind: FloodKind,
+) {
+    assert_bounded(kind);
+}
+
+/// Runs a flood. Floods run one at a time, because several would take the processor time of the other clients.
+fn assert_bounded(kind: FloodKind) {
+    static RUNNING: Mutex<()> = Mutex::new(());
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let outcome = run(kind, OPTIONS).expect("run the flood");
+    let shortfalls = outcome.shortfalls();
+    assert!(shortfalls.is_empty(), "{shortfalls:?}\n{outcome:?}");
+    assert!(outcome.sent > 0, "nothing was sent");
+}
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -9,7 +9,7 @@
 
 pub(in crate::net) use call::{phase_text, AdminCall, UNKNOWN_CALL_REPLY};
 pub(in crate::net) use connection::AdminConnection;
-pub(in crate::net) use metrics_text::MetricsSources;
+pub(in crate::net) use metrics_text::{metrics_page, MetricsSources};
 
 use crate::net::connection_table::Connection;
 use crate::net::error::NetError;
--- a/src/net/admin/metrics_text.rs
+++ b/src/net/admin/metrics_text.rs
@@ -1,9 +1,10 @@
 //! Rendering of the metrics in Prometheus text format.
 
 use crate::net::client::connections::CloseReason;
+use crate::net::client::page_cache::RenderedPage;
 use crate::net::loop_metrics::LoopMetrics;
 use crate::net::tokens::PROTOCOLS;
-use crate::requests::coordinator::Coordinator;
+use crate::requests::coordinator::{Coordinator, Protocol};
 use crate::requests::invariants::Invariant;
 use crate::requests::metrics::Metrics;
 use std::collections::BTreeMap;
@@ -29,39 +30,53 @@
     pub(in crate::net) invalid_requests: &'a BTreeMap<u16, u64>,
     /// Counters of the event loop.
     pub(in crate::net) loop_metrics: LoopMetrics,
+    /// Number of sockets whose input waits for a later turn.
+    pub(in crate::net) backlog: usize,
     /// Number of pending deadlines.
     pub(in crate::net) timers: usize,
 }
 
+/// Returns the metrics page that a request target selects: `?style=platform` or `?style=search` restricts the request metrics to
+/// that client protocol.
+pub(in crate::net) fn metrics_page(target: &str) -> RenderedPage {
+    match target.split_once("?style=") {
+        None => RenderedPage::Metrics,
+        Some((_, style)) => {
+            RenderedPage::ProtocolMetrics(STYLES.iter().position(|name| *name == style))
+        }
+    }
+}
+
 impl MetricsSources<'_> {
     /// Returns the text for the admin interface.
     pub(in crate::net) fn summary(&self) -> String {
         let mut out = String::new();
-        self.write_summary(&self.metrics_of(None), &mut out);
+        self.write_summary(&self.metrics_of(|_| true), &mut out);
         out
     }
 
-    /// Returns the text of the metrics page, which contains more metrics than [`MetricsSources::summary`]. `target` is the
-    /// request target: `?style=platform` or `?style=search` restricts the request metrics to that client protocol.
-    pub(in crate::net) fn page(&self, target: &str) -> String {
-        let style = target.split_once("?style=").map(|(_, style)| style);
-        let metrics = self.metrics_of(style);
+    /// Returns the text of a metrics page, which contains more metrics than [`MetricsSources::summary`].
+    pub(in crate::net) fn page(&self, page: RenderedPage) -> String {
+        let metrics = match page {
+            RenderedPage::Process => return self.process_page(),
+            RenderedPage::ProtocolMetrics(index) => {
+                self.metrics_of(|protocol| index == Some(protocol as usize))
+            }
+            RenderedPage::Metrics | RenderedPage::Endpoints => self.metrics_of(|_| true),
+        };
         let mut out = String::new();
         self.write_summary(&metrics, &mut out);
         self.write_reasons(&metrics, &mut out);
         write_class_details(&metrics, &mut out);
         self.write_two_phase_counters(&mut out);
-        self.write_loop_metrics(&mut out);
         out
     }
 
-    /// Returns the sum of the request metrics of all client protocols, or those of one.
-    fn metrics_of(&self, style: Option<&str>) -> Metrics {
+    /// Returns the sum of the request metrics of the included client protocols.
+    fn metrics_of(&self, is_included: impl Fn(Protocol) -> bool) -> Metrics {
         let mut metrics = Metrics::default();
-        for (protocol, name) in PROTOCOLS.into_iter().zip(STYLES) {
-            if style.is_none_or(|style| style == name) {
-                metrics.add(self.coordinator.metrics(protocol));
-            }
+        for protocol in PROTOCOLS.into_iter().filter(|it| is_included(*it)) {
+            metrics.add(self.coordinator.metrics(protocol));
         }
         metrics
     }
@@ -136,21 +151,26 @@
         }
     }
 
-    /// Writes the counters of the event loop, and the processor time of the process.
-    fn write_loop_metrics(&self, out: &mut String) {
+    /// Returns the counters of the event loop, and the processor time of the process.
+    fn process_page(&self) -> String {
+        let mut out = String::new();
         let LoopMetrics {
             iterations,
             long_iterations,
             longest_s,
+            full_backlogs,
             ..
         } = self.loop_metrics;
         let _ = writeln!(out, "svc_loop_iterations_total {iterations}");
         let _ = writeln!(out, "svc_loop_long_iterations_total {long_iterations}");
         let _ = writeln!(out, "svc_loop_longest_iteration_s {longest_s:.6}");
+        let _ = writeln!(out, "svc_loop_full_backlogs_total {full_backlogs}");
+        let _ = writeln!(out, "svc_backlog {}", self.backlog);
         let _ = writeln!(out, "svc_timers {}", self.timers);
         if let Some(cpu_s) = processor_time_s() {
             let _ = writeln!(out, "svc_cpu_seconds_total {cpu_s:.3}");
         }
+        out
     }
 
     /// Writes the counters of two-phase queries, by class.
--- /dev/null
+++ b/src/net/backlog.rs
@@ -0,0 +1,72 @@
+//! The queue of work that the event loop has put off to keep its iterations short. Each entry gets a turn of limited length; if
+//! input is left after the turn, the entry is queued again behind all others, so that no peer delays another by sending fast.
+
+use crate::net::handover::Side;
+use crate::net::ConnectionKey;
+use crate::requests::query_request::Protocol;
+use std::collections::{BTreeSet, VecDeque};
+
+/// Maximum number of reads from a socket in one turn.
+pub(in crate::net) const MAX_READS_PER_TURN: usize = 8;
+/// Maximum number of connections that are accepted from a listener in one turn.
+pub(in crate::net) const MAX_ACCEPTS_PER_TURN: usize = 32;
+
+/// A source of input that may have more of it than one turn handles.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(in crate::net) enum Work {
+    /// A connection of any kind.
+    Connection(ConnectionKey),
+    /// The listener of a client protocol.
+    Accept(Protocol),
+    /// The listener for peers of the store.
+    AcceptPeers,
+    /// The queue of store operations.
+    StoreOperations,
+    /// The VRRP socket.
+    Vrrp,
+    /// The socket on which successors connect.
+    Rendezvous,
+    /// The connection to the other process of a handover.
+    Link(Side),
+}
+
+/// Pending work in the order in which it was queued. Each source is queued at most once.
+#[derive(Debug, Default)]
+pub(in crate::net) struct Backlog {
+    queue: VecDeque<Work>,
+    queued: BTreeSet<Work>,
+}
+
+impl Backlog {
+    /// Queues a source behind all others, unless the source is queued already.
+    pub(in crate::net) fn push(&mut self, work: Work) {
+        if self.queued.insert(work) {
+            self.queue.push_back(work);
+        }
+    }
+
+    /// Removes and returns the source that has waited for the longest time.
+    pub(in crate::net) fn pop(&mut self) -> Option<Work> {
+        let work = self.queue.pop_front()?;
+        self.queued.remove(&work);
+        Some(work)
+    }
+
+    /// Returns whether a source is queued.
+    pub(in crate::net) fn contains(&self, work: Work) -> bool {
+        self.queued.contains(&work)
+    }
+
+    /// Returns whether no work is pending.
+    pub(in crate::net) fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
+    /// Returns the number of sources that wait for a turn.
+    pub(in crate::net) fn len(&self) -> usize {
+        self.queue.len()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -4,6 +4,7 @@
 //! are in seconds of the event loop's clock.
 
 use crate::net::client::opensearch::SearchContext;
+use crate::net::client::output::Output;
 use crate::net::http::{HttpError, Message, MessageReader};
 use crate::requests::coordinator::{Protocol, RequestKey};
 use mio::net::TcpStream;
@@ -78,11 +79,15 @@
     /// Input that `reader` has not parsed yet.
     pub(super) input: Vec<u8>,
     /// Response that is being written.
-    pub(super) output: Vec<u8>,
-    /// Number of bytes of `output` that the socket has accepted.
-    pub(super) written_bytes: usize,
+    pub(super) output: Output,
     /// Whether the client has closed its side. Such a client counts as disconnected even if it could still read a response.
     pub(super) has_disconnected: bool,
+    /// Whether input may be left in `input` or in the socket because the last turn of the connection ended early.
+    pub(super) may_have_input: bool,
+    /// Earliest time since which the input may wait for a turn; `f64::MAX` if it does not.
+    pub(super) waits_since: f64,
+    /// Whether the connection ends once it is found to be idle.
+    pub(super) closes_when_idle: bool,
     /// Whether the next response closes the connection.
     pub(super) closes_after_response: bool,
     /// Whether the next response has no body, because it answers a HEAD request.
@@ -114,9 +119,11 @@
             state_since: now,
             reader,
             input: Vec::new(),
-            output: Vec::new(),
-            written_bytes: 0,
+            output: Output::default(),
             has_disconnected: false,
+            may_have_input: false,
+            waits_since: f64::MAX,
+            closes_when_idle: false,
             closes_after_response: false,
             omits_body: false,
             sent_continue: false,
@@ -135,6 +142,7 @@
     pub(super) fn enter(&mut self, state: ClientState, now: f64) {
         self.state = state;
         self.state_since = now;
+        self.waits_since = f64::MAX;
     }
 
     /// Returns whether no byte of a request has been received since the last response, or since connecting.
@@ -238,10 +246,10 @@
 
     /// Writes as much of the response as the socket accepts.
     pub(super) fn write_output(&mut self) -> io::Result<WriteProgress> {
-        while self.written_bytes < self.output.len() {
-            match self.stream.write(&self.output[self.written_bytes..]) {
+        while !self.output.is_written() {
+            match self.stream.write(self.output.unwritten()) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(count) => self.written_bytes += count,
+                Ok(count) => self.output.advance(count),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return Ok(WriteProgress::Blocked)
                 }
--- a/src/net/client/connections.rs
+++ b/src/net/client/connections.rs
@@ -7,6 +7,7 @@
 use crate::net::client::connection_error::ConnectionError;
 use crate::net::client::eviction::EvictionCandidate;
 use crate::net::client::opensearch::SearchContext;
+use crate::net::client::page_cache::PageCache;
 use crate::net::client::pages::STORE_PREFIX;
 use crate::net::connection_table::Connection;
 use crate::net::http::{Message, MessageReader};
@@ -113,8 +114,8 @@
     closed: BTreeMap<CloseReason, u64>,
     /// Number of error responses to requests that could not be parsed or were invalid, by status.
     invalid_requests: BTreeMap<u16, u64>,
-    /// Connections to read again after a response, because input may have arrived while the response was written.
-    pub(super) resumed: Vec<ConnectionKey>,
+    /// Texts of the pages that take long to render.
+    pub(in crate::net) pages: PageCache,
     /// Number of clients above which each response closes its connection.
     close_after_response_above: usize,
     /// Limit on the bytes of incomplete requests over all clients.
@@ -136,7 +137,7 @@
             count: 0,
             closed: BTreeMap::new(),
             invalid_requests: BTreeMap::new(),
-            resumed: Vec::new(),
+            pages: PageCache::default(),
             close_after_response_above: (CLOSE_AFTER_RESPONSE_SHARE * max_descriptors as f64
                 / DESCRIPTOR_DIVISOR) as usize,
             max_buffered_bytes: memory_bytes / MEMORY_DIVISOR,
@@ -185,16 +186,6 @@
         self.count > self.close_after_response_above
     }
 
-    /// Returns whether connections are to be read again after a response.
-    pub(in crate::net) fn has_resumed(&self) -> bool {
-        !self.resumed.is_empty()
-    }
-
-    /// Takes the connections that are to be read again after a response.
-    pub(in crate::net) fn take_resumed(&mut self) -> Vec<ConnectionKey> {
-        std::mem::take(&mut self.resumed)
-    }
-
     /// Records that a client connection was removed from the connection table.
     pub(in crate::net) fn connection_removed(&mut self) {
         self.count -= 1;
@@ -297,6 +288,21 @@
         }
     }
 
+    /// Returns the earliest time since which the client's input may have waited for a turn; `f64::MAX` if it has not.
+    pub(super) fn waits_since(&self, runtime: &Runtime, key: ConnectionKey) -> f64 {
+        match runtime.connections.get(key) {
+            Some(Connection::Client(client)) => client.waits_since,
+            _ => f64::MAX,
+        }
+    }
+
+    /// Records that the client has closed its side, before its input is read.
+    pub(super) fn mark_disconnected(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
+        if let Some(client) = client_mut(&mut runtime.connections, key) {
+            client.has_disconnected = true;
+        }
+    }
+
     /// Returns whether a request of the client waits for its final answer.
     pub(super) fn has_request(&self, runtime: &Runtime, key: ConnectionKey) -> bool {
         matches!(
@@ -313,7 +319,9 @@
         };
         let is_unchanged = match client.state {
             ClientState::Lingering => true,
-            ClientState::Reading => client.is_idle() == candidate.was_idle,
+            ClientState::Reading => {
+                client.is_idle() == candidate.was_idle && !client.may_have_input
+            }
             ClientState::InFlight(_) | ClientState::AwaitingStore | ClientState::Writing => false,
         };
         if is_unchanged {
@@ -324,7 +332,8 @@
 
     /// Closes the connection of an idle client, unless the client connected within the last `min_age_s` and may be about to
     /// send its first request. The caller must have read the connection in this iteration of the event loop, because data
-    /// that a client wrote to an accepted connection counts as received.
+    /// that a client wrote to an accepted connection counts as received. A connection with unread input is closed once that
+    /// is read, if it is idle then.
     pub(super) fn end_if_idle(
         &mut self,
         runtime: &mut Runtime,
@@ -335,7 +344,12 @@
             return;
         };
         let has_min_age = runtime.now >= client.state_since + min_age_s;
-        if client.is_idle() && (client.is_idle_after_response() || has_min_age) {
+        if !client.is_idle() || !(client.is_idle_after_response() || has_min_age) {
+            return;
+        }
+        if client.may_have_input {
+            client.closes_when_idle = true;
+        } else {
             self.linger(runtime, key);
         }
     }
@@ -347,7 +361,12 @@
                 continue;
             };
             client.closes_after_response = true;
-            if client.is_idle() {
+            if !client.is_idle() {
+                continue;
+            }
+            if client.may_have_input {
+                client.closes_when_idle = true;
+            } else {
                 self.linger(runtime, key);
             }
         }
--- a/src/net/client/eviction.rs
+++ b/src/net/client/eviction.rs
@@ -66,6 +66,7 @@
     match client.state {
         ClientState::Lingering if now < state_since + MIN_LINGER_S => None,
         ClientState::Lingering => Some(EvictionRank::Answered),
+        ClientState::Reading if client.may_have_input => None,
         ClientState::Reading
             if now < state_since + RECENT_ACTIVITY_S && !client.is_idle_after_response() =>
         {
--- a/src/net/client/pages.rs
+++ b/src/net/client/pages.rs
@@ -17,6 +17,8 @@
     Healthy,
     /// Metrics in Prometheus text format.
     Metrics,
+    /// Metrics of the event loop and the process.
+    Process,
     /// Endpoints with their latest load reports.
     Endpoints,
     /// Path without a page.
@@ -33,6 +35,7 @@
             "/-/ready" => Page::Ready,
             "/-/healthy" => Page::Healthy,
             "/-/figures" => Page::Metrics,
+            "/-/process" => Page::Process,
             "/-/members" => Page::Endpoints,
             _ => Page::Unknown,
         }
--- a/src/net/client/platform.rs
+++ b/src/net/client/platform.rs
@@ -384,7 +384,9 @@
 }
 
 /// Renders the endpoints page: address, readiness, number of connections and latest load report of each endpoint.
-pub(super) fn render_endpoints<'a>(endpoints: impl Iterator<Item = &'a Endpoint>) -> String {
+pub(in crate::net) fn render_endpoints<'a>(
+    endpoints: impl Iterator<Item = &'a Endpoint>,
+) -> String {
     let entry = |endpoint: &Endpoint| EndpointJson {
         name: endpoint.name.clone(),
         address: endpoint.address.map(|address| address.to_string()),
--- a/src/net/client/reading.rs
+++ b/src/net/client/reading.rs
@@ -2,6 +2,7 @@
 //!
 //! Valid queries and page requests are returned as [`ClientEvent`]s, which `routing` forwards to the other subsystems.
 
+use crate::net::backlog::{Work, MAX_READS_PER_TURN};
 use crate::net::client::connection::{ClientState, SocketRead, READ_BUFFER_BYTES};
 use crate::net::client::connection_error::ConnectionError;
 use crate::net::client::connections::{
@@ -38,21 +39,24 @@
                 self.detect_disconnect(runtime, key);
             }
             ClientState::Lingering => self.discard_input(runtime, key),
+            // The connection gets its turn in the order of the backlog.
+            ClientState::Reading
+                if runtime.backlog.contains(Work::Connection(key)) && client.may_have_input => {}
             ClientState::Reading => return self.read(runtime, key, conditions),
         }
         None
     }
 
-    /// Reads from a client until no input is left, the connection has ended, or a request has arrived that concerns another
-    /// subsystem. After handling the returned event, the caller must call this method again.
+    /// Gives the client a turn: reads until no input is left, the connection has ended, one request has arrived, or the number
+    /// of reads of a turn is reached. In the last case the connection is queued for another turn; after a request, this happens
+    /// once its response is written.
     pub(super) fn read(
         &mut self,
         runtime: &mut Runtime,
         key: ConnectionKey,
         conditions: ServingConditions,
     ) -> Option<ClientEvent> {
-        let mut buffer = [0; READ_BUFFER_BYTES];
-        loop {
+        for _ in 0..MAX_READS_PER_TURN {
             let client = client_mut(&mut runtime.connections, key)?;
             match client.state {
                 ClientState::Reading => {}
@@ -64,14 +68,11 @@
                     return None;
                 }
             }
+            client.may_have_input = true;
             if !client.input.is_empty() {
                 match client.next_message() {
                     Ok(Some(message)) => {
-                        let event = self.handle_message(runtime, key, message, conditions);
-                        if event.is_some() {
-                            return event;
-                        }
-                        continue;
+                        return self.handle_message(runtime, key, message, conditions)
                     }
                     Ok(None) => client.send_continue(),
                     Err(error) => {
@@ -80,13 +81,34 @@
                     }
                 }
             }
-            if self
-                .receive(runtime, key, &mut buffer, conditions)
-                .is_break()
-            {
+            if self.receive(runtime, key, conditions).is_break() {
                 return None;
             }
         }
+        self.queue_turn(runtime, key);
+        None
+    }
+
+    /// Queues another turn of a connection whose input may not have been read completely.
+    pub(super) fn queue_turn(&self, runtime: &mut Runtime, key: ConnectionKey) {
+        let Some(client) = client_mut(&mut runtime.connections, key) else {
+            return;
+        };
+        client.may_have_input = true;
+        client.waits_since = client.waits_since.min(runtime.previous_iteration_at);
+        runtime.backlog.push(Work::Connection(key));
+    }
+
+    /// Records that a client in state `Reading` has no more input for now.
+    fn input_ended(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
+        let Some(client) = client_mut(&mut runtime.connections, key) else {
+            return;
+        };
+        client.may_have_input = false;
+        client.waits_since = f64::MAX;
+        if client.closes_when_idle && client.is_idle() {
+            self.linger(runtime, key);
+        }
     }
 
     /// Reads once from the socket of a client in state `Reading`. Returns `Break` if reading is to stop.
@@ -94,15 +116,18 @@
         &mut self,
         runtime: &mut Runtime,
         key: ConnectionKey,
-        buffer: &mut [u8],
         conditions: ServingConditions,
     ) -> ControlFlow<()> {
+        let mut buffer = [0; READ_BUFFER_BYTES];
         let Some(client) = client_mut(&mut runtime.connections, key) else {
             return ControlFlow::Break(());
         };
-        let count = match client.read_socket(buffer) {
+        let count = match client.read_socket(&mut buffer) {
             SocketRead::Bytes(count) => count,
-            SocketRead::Blocked => return ControlFlow::Break(()),
+            SocketRead::Blocked => {
+                self.input_ended(runtime, key);
+                return ControlFlow::Break(());
+            }
             SocketRead::Closed => {
                 self.close(runtime, key, CloseReason::ClientClosed);
                 return ControlFlow::Break(());
@@ -178,6 +203,7 @@
         client.closes_after_response = !message.keep_alive;
         client.omits_body = message.is_head_request();
         client.sent_continue = false;
+        client.closes_when_idle = false;
         client.first_request_by = f64::MAX;
         match client.protocol {
             Protocol::Platform => self.handle_platform_message(runtime, key, message),
--- a/src/net/client/routing.rs
+++ b/src/net/client/routing.rs
@@ -4,11 +4,13 @@
 //!
 //! [`ClientConnections`]: crate::net::client::connections::ClientConnections
 
+use crate::net::admin::metrics_page;
+use crate::net::backlog::{Work, MAX_ACCEPTS_PER_TURN};
 use crate::net::client::connections::{ClientEvent, ServingConditions};
 use crate::net::client::eviction::{find_candidate, EvictionRank};
 use crate::net::client::opensearch::SearchContext;
+use crate::net::client::page_cache::RenderedPage;
 use crate::net::client::pages::Page;
-use crate::net::client::platform;
 use crate::net::client::writing::log_unsuccessful_request;
 use crate::net::event_loop::{Mixer, PollEvents, ACCEPT_RETRY_S};
 use crate::net::http::{self, Message, StartLine};
@@ -20,6 +22,9 @@
 use mio::net::TcpStream;
 use std::io;
 
+/// Upper bound on the length of a listener's accept queue.
+const MAX_ACCEPT_QUEUE: usize = 4096;
+
 impl Mixer {
     /// Returns the current state of the other subsystems that affects how clients are served.
     fn serving_conditions(&self) -> ServingConditions {
@@ -30,16 +35,29 @@
         }
     }
 
-    /// Accepts all pending client connections of a listener, if the listener is open.
+    /// Accepts pending client connections of a listener, if the listener is open. More than one turn allows wait in the
+    /// backlog.
     pub(in crate::net) fn accept(&mut self, protocol: Protocol) {
-        loop {
+        if self.accept_up_to(MAX_ACCEPTS_PER_TURN, protocol) {
+            self.runtime.backlog.push(Work::Accept(protocol));
+        }
+    }
+
+    /// Accepts all connections in the accept queue of a listener, which is about to be closed.
+    pub(in crate::net) fn accept_all(&mut self, protocol: Protocol) {
+        self.accept_up_to(MAX_ACCEPT_QUEUE, protocol);
+    }
+
+    /// Accepts up to `max_count` client connections of a listener. Returns whether more may be pending.
+    fn accept_up_to(&mut self, max_count: usize, protocol: Protocol) -> bool {
+        for _ in 0..max_count {
             let Some(listener) = self.listeners.get(protocol) else {
-                return;
+                return false;
             };
             match listener.accept() {
                 Ok((stream, _)) => self.add_client(stream, protocol),
                 Err(error) => match error.kind() {
-                    io::ErrorKind::WouldBlock => return,
+                    io::ErrorKind::WouldBlock => return false,
                     io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted => {}
                     _ => {
                         // Out of descriptors or memory. The connections stay in the accept queue, and the edge-triggered
@@ -49,11 +67,12 @@
                         self.runtime
                             .timers
                             .add(self.runtime.now + ACCEPT_RETRY_S, Deadline::Accept);
-                        return;
+                        return false;
                     }
                 },
             }
         }
+        true
     }
 
     /// Serves an accepted client, or rejects it if the client limit is reached and no other connection can be evicted.
@@ -98,7 +117,7 @@
         false
     }
 
-    /// Reads from a client until no input is left, and handles the requests.
+    /// Gives a client a turn, and handles its request if it has sent one.
     pub(in crate::net) fn read_client(&mut self, key: ConnectionKey) {
         let conditions = self.serving_conditions();
         let event = self.clients.read(&mut self.runtime, key, conditions);
@@ -126,20 +145,16 @@
         self.route_client_event(key, event);
     }
 
-    /// Forwards an event to the responsible subsystem and continues reading from the client, until reading yields no further
-    /// event.
-    fn route_client_event(&mut self, key: ConnectionKey, mut event: Option<ClientEvent>) {
-        while let Some(current) = event {
-            match current {
-                ClientEvent::Query {
-                    query_request,
-                    search_context,
-                } => self.submit_query(key, *query_request, search_context),
-                ClientEvent::Page(message) => self.serve_page(key, &message),
-                ClientEvent::IdleTimeout => return self.end_if_idle(key, 0.0),
-            }
-            let conditions = self.serving_conditions();
-            event = self.clients.read(&mut self.runtime, key, conditions);
+    /// Forwards an event to the responsible subsystem.
+    fn route_client_event(&mut self, key: ConnectionKey, event: Option<ClientEvent>) {
+        match event {
+            Some(ClientEvent::Query {
+                query_request,
+                search_context,
+            }) => self.submit_query(key, *query_request, search_context),
+            Some(ClientEvent::Page(message)) => self.serve_page(key, &message),
+            Some(ClientEvent::IdleTimeout) => self.end_if_idle(key, 0.0),
+            None => {}
         }
     }
 
@@ -154,13 +169,15 @@
         if !self.clients.check_connected(&mut self.runtime, key) {
             return;
         }
-        // The request may have arrived right after the previous poll, so the client may already have waited since then.
+        // The request may have arrived right after the previous poll, or have waited in the backlog, so the client may already
+        // have waited since then.
         let read_at = if self.runtime.is_delayed() {
             self.runtime.clock.now()
         } else {
             self.runtime.now
         };
-        let max_age_s = read_at - self.runtime.previous_iteration_at;
+        let waits_since = self.clients.waits_since(&self.runtime, key);
+        let max_age_s = read_at - self.runtime.previous_iteration_at.min(waits_since);
         let max_timeout_s = read_at - self.runtime.now + query_request.timeout_s;
         query_request.timeout_s = (query_request.timeout_s - max_age_s).max(0.0);
         query_request.timeout_uncertainty_s = max_timeout_s - query_request.timeout_s;
@@ -176,14 +193,18 @@
         };
         let (status, body) = match Page::from_target(target, self.store.is_some()) {
             Page::Store { name } => return self.store_page(key, method, name, &message.body),
-            Page::Metrics => return self.metrics_page(key, target, !message.keep_alive),
+            Page::Metrics => {
+                return self.serve_rendered(key, metrics_page(target), !message.keep_alive)
+            }
+            Page::Process => {
+                return self.serve_rendered(key, RenderedPage::Process, !message.keep_alive)
+            }
+            Page::Endpoints => {
+                return self.serve_rendered(key, RenderedPage::Endpoints, !message.keep_alive)
+            }
             Page::Ready if self.is_ready() => (200, r#"{"ready":true}"#.to_string()),
             Page::Ready => (503, r#"{"ready":false}"#.to_string()),
             Page::Healthy => (200, "{}".to_string()),
-            Page::Endpoints => (
-                200,
-                platform::render_endpoints(self.runtime.directory.endpoints()),
-            ),
             Page::Unknown => (404, r#"{"error":"no such page"}"#.to_string()),
         };
         let closes = self.closes_after_response() || !message.keep_alive;
@@ -236,7 +257,11 @@
             let key = connection_key(event.token());
             // The token of a listener also converts to a key, but that key does not convert back to the same token.
             let is_connection = token(key) == event.token();
-            if is_connection && self.clients.has_request(&self.runtime, key) {
+            if !is_connection {
+                continue;
+            }
+            self.clients.mark_disconnected(&mut self.runtime, key);
+            if self.clients.has_request(&self.runtime, key) {
                 self.handle_client_event(key, true);
             }
         }
--- a/src/net/client/writing.rs
+++ b/src/net/client/writing.rs
@@ -3,11 +3,12 @@
 use crate::net::client::connection::{ClientState, WriteProgress};
 use crate::net::client::connection_error::ConnectionError;
 use crate::net::client::connections::{client_mut, ClientConnections, CloseReason, InvalidRequest};
+use crate::net::client::output::Output;
 use crate::net::client::{opensearch, platform};
-use crate::net::http;
 use crate::net::runtime::Runtime;
 use crate::net::ConnectionKey;
 use crate::requests::coordinator::{FinalAnswer, QueryRequest};
+use std::rc::Rc;
 
 impl ClientConnections {
     /// Starts writing a response. If `closes` is set, the connection ends after the response. Does nothing if the client has
@@ -18,15 +19,26 @@
         key: ConnectionKey,
         bytes: Vec<u8>,
         closes: bool,
+    ) {
+        self.respond_shared(runtime, key, bytes, Rc::from(""), closes);
+    }
+
+    /// Starts writing a response like [`ClientConnections::respond`], whose body ends with a text that clients share.
+    pub(in crate::net) fn respond_shared(
+        &mut self,
+        runtime: &mut Runtime,
+        key: ConnectionKey,
+        bytes: Vec<u8>,
+        shared: Rc<str>,
+        closes: bool,
     ) {
         let Some(client) = client_mut(&mut runtime.connections, key) else {
             return;
         };
-        client.output = bytes;
+        client.output.set(bytes, shared);
         if std::mem::take(&mut client.omits_body) {
-            http::remove_body(&mut client.output);
+            client.output.remove_body();
         }
-        client.written_bytes = 0;
         client.enter(ClientState::Writing, runtime.now);
         client.closes_after_response |= closes;
         self.write(runtime, key);
@@ -87,15 +99,14 @@
             Ok(WriteProgress::Blocked) => return,
             Err(_) => return self.close(runtime, key, CloseReason::WriteFailed),
         }
-        client.output = Vec::new();
+        client.output = Output::default();
         client.enter(ClientState::Reading, runtime.now);
         if client.closes_after_response || (client.has_disconnected && client.input.is_empty()) {
             return self.linger(runtime, key);
         }
         self.schedule_deadline(runtime, key);
-        // Input may have arrived during the response, and the edge-triggered poll does not report it again. Reading here
-        // would recurse once for each pipelined request, so the connection is read later.
-        self.resumed.push(key);
+        // Input may have arrived during the response, and the edge-triggered poll does not report it again.
+        self.queue_turn(runtime, key);
     }
 
     /// Shuts down the write side and waits for the client to close its side. An immediate close could reset the connection
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -3,6 +3,7 @@
 
 use crate::config::Options;
 use crate::endpoints::directory::ConnectionKey;
+use crate::net::backlog::Work;
 use crate::net::client::connections::ClientConnections;
 use crate::net::connection_table::Connection;
 use crate::net::discovery::lease;
@@ -15,7 +16,7 @@
 use crate::net::runtime::Runtime;
 use crate::net::stall_detector::StallDetector;
 use crate::net::timer_queue::{Deadline, TIMER_TOLERANCE_S};
-use crate::net::tokens::{connection_key, ADMIN, PROTOCOLS, RELOAD, SIGNALS, STORE, VRRP};
+use crate::net::tokens::{connection_key, token, ADMIN, PROTOCOLS, RELOAD, SIGNALS, STORE, VRRP};
 use crate::net::{admin, handover, startup, store_peers, vrrp_socket};
 use crate::requests::coordinator::Command;
 use mio::event::Event;
@@ -27,6 +28,11 @@
 
 /// Maximum number of events returned by one poll; further events are returned by the next poll.
 const MAX_EVENTS_PER_POLL: usize = 256;
+/// Time after which an iteration hands the remaining events to the backlog (seconds).
+const MAX_EVENTS_S: f64 = 0.01;
+/// Time that an iteration spends on the backlog, plus the last turn (seconds). The sockets are polled again after it, so that
+/// answers of leaf servers, disconnects and deadlines do not wait for long.
+const MAX_BACKLOG_S: f64 = 0.002;
 /// Delay before connections are accepted again after an accept failed for lack of descriptors or memory (seconds).
 pub(super) const ACCEPT_RETRY_S: f64 = 0.02;
 /// Fraction of a replica's idle timeout after which the mixer closes an idle connection.
@@ -127,7 +133,8 @@
     ) -> Result<Option<f64>, NetError> {
         let runtime = &mut self.runtime;
         let polled_at = runtime.clock.now();
-        let timeout = if self.replicas.has_postponed_writes() {
+        let has_pending_work = self.replicas.has_postponed_writes() || !runtime.backlog.is_empty();
+        let timeout = if has_pending_work {
             Some(Duration::ZERO)
         } else {
             runtime.timers.wait(polled_at)
@@ -146,7 +153,7 @@
         Ok(Some(woke_at))
     }
 
-    /// Runs one iteration: handles the events, then the deadlines that have passed.
+    /// Runs one iteration: handles the events, then a part of the backlog, then the deadlines that have passed.
     fn run_iteration(
         &mut self,
         woke_at: f64,
@@ -169,10 +176,11 @@
         self.flush_postponed();
         for event in events.iter() {
             if !handled.contains(&event.token()) {
-                self.handle_event(event);
+                self.handle_or_defer(event, woke_at);
             }
             self.process_commands();
         }
+        self.reduce_backlog();
         self.advance_to_deadlines(woke_at, stall_detector);
         while let Some(deadline) = self.runtime.timers.next(self.runtime.now) {
             self.handle_deadline(deadline);
@@ -218,6 +226,43 @@
         }
     }
 
+    /// Handles an event now or, if the iteration has taken long already, queues its connection for a later turn.
+    fn handle_or_defer(&mut self, event: &Event, woke_at: f64) {
+        let key = connection_key(event.token());
+        let is_connection = token(key) == event.token();
+        if is_connection && self.runtime.clock.now() > woke_at + MAX_EVENTS_S {
+            self.runtime.backlog.push(Work::Connection(key));
+        } else {
+            self.handle_event(event);
+        }
+    }
+
+    /// Gives turns to the sources of the backlog in their order, at least one.
+    fn reduce_backlog(&mut self) {
+        let started_at = self.runtime.clock.now();
+        while let Some(work) = self.runtime.backlog.pop() {
+            self.run_turn(work);
+            self.process_commands();
+            if self.runtime.clock.now() > started_at + MAX_BACKLOG_S {
+                self.runtime.loop_metrics.count_full_backlog();
+                return;
+            }
+        }
+    }
+
+    /// Gives a turn to a source of the backlog.
+    fn run_turn(&mut self, work: Work) {
+        match work {
+            Work::Connection(key) => self.handle_connection_event(key, false, false),
+            Work::Accept(protocol) => self.accept(protocol),
+            Work::AcceptPeers => self.accept_store_peers(),
+            Work::StoreOperations => self.next_store_operation(),
+            Work::Vrrp => self.handle_vrrp_socket_event(),
+            Work::Rendezvous => self.handle_rendezvous_event(),
+            Work::Link(side) => self.handle_link_event(side),
+        }
+    }
+
     /// Dispatches an event to the subsystem that owns its socket. Events of the admin interface have been handled before.
     fn handle_event(&mut self, event: &Event) {
         match event.token() {
@@ -238,13 +283,9 @@
         }
     }
 
-    /// Executes the coordinator's commands, including those that result from executing them, and reads the clients that may
-    /// send their next request, until neither is left.
+    /// Executes the coordinator's commands, including those that result from executing them, until none is left.
     pub(super) fn process_commands(&mut self) {
-        while !self.runtime.commands.is_empty() || self.clients.has_resumed() {
-            for key in self.clients.take_resumed() {
-                self.read_client(key);
-            }
+        while !self.runtime.commands.is_empty() {
             for command in std::mem::take(&mut self.runtime.commands) {
                 match command {
                     Command::Call { replica, parts } => self.call(replica, parts),
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -60,8 +60,8 @@
 const MIN_CONNECTIONS: usize = 16;
 
 /// The role of the process at the other end of a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Side {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(in crate::net) enum Side {
     Predecessor,
     Successor,
 }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -562,7 +562,20 @@
     body: &str,
     close: bool,
 ) -> Vec<u8> {
-    let mut out = String::with_capacity(160 + body.len());
+    let mut out = response_head(status, content_type, headers, body.len(), close);
+    out.extend_from_slice(body.as_bytes());
+    out
+}
+
+/// Serializes the head of a response whose body has `body_bytes` bytes of the given content type. `close` adds `Connection: close`.
+pub fn response_head(
+    status: u16,
+    content_type: &str,
+    headers: &[(&str, String)],
+    body_bytes: usize,
+    close: bool,
+) -> Vec<u8> {
+    let mut out = String::with_capacity(160);
     let _ = write!(
         out,
         "HTTP/1.1 {status} {}\r\nContent-Type: {content_type}\r\n",
@@ -574,7 +587,7 @@
     if close {
         out.push_str("Connection: close\r\n");
     }
-    let _ = write!(out, "Content-Length: {}\r\n\r\n{body}", body.len());
+    let _ = write!(out, "Content-Length: {body_bytes}\r\n\r\n");
     out.into_bytes()
 }
 
--- a/src/net/lifecycle_routing.rs
+++ b/src/net/lifecycle_routing.rs
@@ -110,7 +110,7 @@
     /// Closes the listeners when this router is no longer Active. Accepted requests are answered, then their connections are
     /// closed.
     pub(super) fn close_listeners_by_vrrp(&mut self) {
-        self.accept_all();
+        self.accept_all_queued();
         self.listeners.close();
         self.clients.end_all_after_response(&mut self.runtime);
     }
@@ -119,7 +119,7 @@
     /// queue, for the next process.
     pub(super) fn close_listener(&mut self) {
         self.release_inherited_listener();
-        self.accept_all();
+        self.accept_all_queued();
         self.listeners.close();
         self.handle_vrrp_event(VrrpEvent::Shutdown);
         self.lifecycle.begin_closing(&mut self.runtime);
@@ -131,9 +131,9 @@
     }
 
     /// Accepts all connections in the accept queues.
-    fn accept_all(&mut self) {
+    fn accept_all_queued(&mut self) {
         for protocol in PROTOCOLS {
-            self.accept(protocol);
+            self.accept_all(protocol);
         }
     }
 
--- a/src/net/loop_metrics.rs
+++ b/src/net/loop_metrics.rs
@@ -11,6 +11,8 @@
     pub(super) long_iterations: u64,
     /// Duration of the longest iteration (seconds).
     pub(super) longest_s: f64,
+    /// Iterations that ended with work left in the backlog because its time was over.
+    pub(super) full_backlogs: u64,
     /// Messages of clients handled in the current iteration.
     messages: u64,
 }
@@ -27,6 +29,11 @@
         self.messages += 1;
     }
 
+    /// Counts an iteration that left work in the backlog because its time was over.
+    pub(super) fn count_full_backlog(&mut self) {
+        self.full_backlogs += 1;
+    }
+
     /// Records how long an iteration took to handle its events (seconds). Returns the line to be logged if that was too long.
     pub(super) fn end_iteration(&mut self, duration_s: f64) -> Option<String> {
         self.longest_s = self.longest_s.max(duration_s);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The sockets of the mixer and the single-threaded event loop that serves them.
 
 mod admin;
+mod backlog;
 pub mod client;
 mod clock;
 mod connection_table;
--- a/src/net/operator_routing.rs
+++ b/src/net/operator_routing.rs
@@ -8,6 +8,8 @@
     phase_text, AcceptResult, AdminCall, AdminServer, MetricsSources, MAX_ACCEPTS_PER_ITERATION,
     UNKNOWN_CALL_REPLY,
 };
+use crate::net::client::page_cache::RenderedPage;
+use crate::net::client::platform;
 use crate::net::error::NetError;
 use crate::net::event_loop::Mixer;
 use crate::net::http;
@@ -111,17 +113,40 @@
             closed_clients: self.clients.closed(),
             invalid_requests: self.clients.invalid_requests(),
             loop_metrics: self.runtime.loop_metrics,
+            backlog: self.runtime.backlog.len(),
             timers: self.runtime.timers.len(),
         }
     }
 
-    /// Responds to a client with the metrics page.
-    pub(super) fn metrics_page(&mut self, key: ConnectionKey, target: &str, close: bool) {
-        let text = self.metrics_sources().page(target);
+    /// Responds to a client with a page that takes long to render.
+    pub(super) fn serve_rendered(&mut self, key: ConnectionKey, page: RenderedPage, close: bool) {
         let close = self.closes_after_response() || close;
-        let response =
-            http::response_with_content_type(200, "text/plain; version=0.0.4", &[], &text, close);
-        self.respond(key, response, close);
+        let content_type = match page {
+            RenderedPage::Endpoints => "application/json",
+            _ => "text/plain; version=0.0.4",
+        };
+        let text = self.rendered(page);
+        let head = http::response_head(200, content_type, &[], text.len(), close);
+        self.clients
+            .respond_shared(&mut self.runtime, key, head, text, close);
+    }
+
+    /// Returns the text of a page, rendered now or a short time ago.
+    fn rendered(&mut self, page: RenderedPage) -> Rc<str> {
+        let started_at = self.runtime.clock.now();
+        if let Some(text) = self.clients.pages.get(started_at, page) {
+            return text;
+        }
+        let text: Rc<str> = match page {
+            RenderedPage::Endpoints => {
+                platform::render_endpoints(self.runtime.directory.endpoints())
+            }
+            _ => self.metrics_sources().page(page),
+        }
+        .into();
+        let now = self.runtime.clock.now();
+        self.clients.pages.put(started_at, now, page, text.clone());
+        text
     }
 }
 
@@ -203,7 +228,8 @@
         self.store.as_ref().is_some_and(StorePeers::has_settings)
     }
 
-    fn next_store_operation(&mut self) {
+    /// Starts the next store operation, unless one is in progress.
+    pub(super) fn next_store_operation(&mut self) {
         let Some(store) = &mut self.store else { return };
         store.begin_next(&mut self.runtime);
         self.complete_store_operations();
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -3,6 +3,7 @@
 
 use crate::config::Deployment;
 use crate::endpoints::directory::{ConnectionKey, Directory};
+use crate::net::backlog::Backlog;
 use crate::net::clock::Clock;
 use crate::net::connection_table::Connection;
 use crate::net::discovery::lease::MAX_LOOP_DELAY_S;
@@ -31,6 +32,8 @@
     /// Time of the last poll before this iteration; all data read in this iteration arrived after it.
     pub(in crate::net) previous_iteration_at: f64,
     pub(in crate::net) timers: TimerQueue,
+    /// Work that did not fit into earlier iterations or turns.
+    pub(in crate::net) backlog: Backlog,
     pub(in crate::net) log: Log,
     pub(in crate::net) loop_metrics: LoopMetrics,
     /// Source of jitter, which prevents the mixers of a fleet from acting at the same time.
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -2,6 +2,7 @@
 
 use crate::config::{Deployment, Options};
 use crate::endpoints::directory::Directory;
+use crate::net::backlog::Backlog;
 use crate::net::client::connections::ClientConnections;
 use crate::net::clock::Clock;
 use crate::net::discovery::DiscoveryClient;
@@ -148,6 +149,7 @@
         iteration_started_at: now,
         previous_iteration_at: now,
         timers: TimerQueue::default(),
+        backlog: Backlog::default(),
         log: Log::new(now),
         loop_metrics: LoopMetrics::default(),
         rng: oorandom::Rand64::new(u128::from(setup.seed) + 1),
--- a/src/requests/query_request.rs
+++ b/src/requests/query_request.rs
@@ -1,7 +1,7 @@
 //! A client's query as both fronts pass it to the coordinator.
 
 /// The front through which a request was received. Metrics are kept per front.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Protocol {
     /// Protocol of the platform.
     #[default]
