A leaf server that sends at full speed gets turns, and its memory is bounded

Callers got no answers while a leaf server repeated an answer without end. Cause: ReplicaConnection::read read until the socket was empty, and late or repeated answers are ignored, however many. Change: eight reads a turn, the rest waits in the backlog; after 256 answers in a row that belong to no part in flight (four for each remembered part) the connection is closed as unusable. Incomplete answers of all leaf servers take an eighth of the memory at most, above 32 KiB each; a connection releases the buffer of a large answer instead of keeping it.

--- a/crates/wharfhub-testbed/tests/flood.rs
+++ b/crates/wharfhub-testbed/tests/flood.rs
@@ -40,3 +40,9 @@
     assert!(shortfalls.is_empty(), "{shortfalls:?}\n{outcome:?}");
     assert!(outcome.sent > 0, "nothing was sent");
 }
+
+/// A leaf server that repeated an answer without end held up the whole event loop (issue 64).
+#[test]
+fn other_clients_are_answered_in_time_beside_a_leaf_server_that_repeats_an_answer() {
+    assert_bounded(FloodKind::LeafAnswers);
+}
--- a/src/net/replica/answers.rs
+++ b/src/net/replica/answers.rs
@@ -4,9 +4,12 @@
 
 use crate::decisions::api::Outcome;
 use crate::endpoints::directory::WireFormat;
+use crate::net::backlog::MAX_READS_PER_TURN;
 use crate::net::client::opensearch::{self, LeafAnswer};
 use crate::net::http::HttpError;
-use crate::net::replica::connection::{AttemptResult, RecentPart, ReplicaConnection};
+use crate::net::replica::connection::{
+    AttemptResult, RecentPart, ReplicaConnection, MAX_RECENT_PARTS,
+};
 use crate::net::replica::error::ReplicaError;
 use crate::net::replica::frames::{self, FirstFrame, ReceivedFrame};
 use std::io::{self, Read};
@@ -14,13 +17,28 @@
 
 /// Size of a single read from the socket.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Maximum number of answers in a row that belong to no part in flight. Each of the recent parts may be answered late or twice.
+const MAX_IGNORED_ANSWERS: usize = 4 * MAX_RECENT_PARTS;
+
+/// Whether the socket was read to its end in a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadProgress {
+    /// No more input is available.
+    Drained,
+    /// More input may be available; the connection needs another turn.
+    MoreInput,
+}
 
 impl ReplicaConnection {
-    /// Reads all available answers, and adds the attempts that ended to `results`. An error means that the connection is to
+    /// Reads the answers of one turn, and adds the attempts that ended to `results`. An error means that the connection is to
     /// be closed.
-    pub fn read(&mut self, now: f64, results: &mut Vec<AttemptResult>) -> Result<(), ReplicaError> {
+    pub fn read(
+        &mut self,
+        now: f64,
+        results: &mut Vec<AttemptResult>,
+    ) -> Result<ReadProgress, ReplicaError> {
         let mut buffer = [0; READ_BUFFER_BYTES];
-        loop {
+        for _ in 0..MAX_READS_PER_TURN {
             match self.stream.read(&mut buffer) {
                 Ok(0) => {
                     self.process_input(true, now, results)?;
@@ -29,13 +47,29 @@
                 Ok(count) => {
                     self.input.extend_from_slice(&buffer[..count]);
                     self.process_input(false, now, results)?;
+                    self.release_empty_input();
                     self.silent_since = (!self.is_unused()).then_some(now);
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return Ok(ReadProgress::Drained)
+                }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
             }
         }
+        Ok(ReadProgress::MoreInput)
+    }
+
+    /// Returns the memory that received bytes take until their answer is complete.
+    pub(super) fn buffered_bytes(&self) -> usize {
+        self.input.capacity() + self.reader.buffered_bytes()
+    }
+
+    /// Releases the memory of a large answer, which would otherwise be kept by each of thousands of connections.
+    fn release_empty_input(&mut self) {
+        if self.input.is_empty() && self.input.capacity() > READ_BUFFER_BYTES {
+            self.input = Vec::new();
+        }
     }
 
     fn process_input(
@@ -161,7 +195,7 @@
         let Some(index) = index else {
             // A duplicate answer, or one that arrives after its attempt has ended, is ignored.
             if self.recent.iter().any(|recent| Some(&*recent.id) == id) {
-                return Ok(());
+                return self.ignore_answer();
             }
             return Err(self.reject_answer(None, ReplicaError::UnknownPart));
         };
@@ -169,10 +203,11 @@
             // A late answer to the pre-check of a part that has since been sent in full is ignored.
             let is_late = |recent: &RecentPart| recent.pre_check && Some(&*recent.id) == id;
             if self.recent.iter().any(is_late) {
-                return Ok(());
+                return self.ignore_answer();
             }
             return Err(self.reject_answer(named, ReplicaError::UnexpectedPreCheckAnswer));
         };
+        self.ignored_answers = 0;
         let part = self.parts.remove(index);
         let value = (outcome == Outcome::Ok).then(|| Rc::from(answer.value));
         results.extend(part.result(outcome, value));
@@ -180,4 +215,13 @@
         self.add_recent_part(part);
         Ok(())
     }
+
+    /// Counts an answer that belongs to no part in flight. A leaf server that sends many of them is not worth reading.
+    fn ignore_answer(&mut self) -> Result<(), ReplicaError> {
+        self.ignored_answers += 1;
+        if self.ignored_answers > MAX_IGNORED_ANSWERS {
+            return Err(self.reject_answer(None, ReplicaError::RepeatedAnswers));
+        }
+        Ok(())
+    }
 }
--- a/src/net/replica/connection.rs
+++ b/src/net/replica/connection.rs
@@ -23,7 +23,7 @@
 /// Time within which an answer has to be complete after its first byte, or the connection is closed (seconds).
 const ANSWER_TIMEOUT_S: f64 = 0.25;
 /// Maximum number of ended parts whose ids are kept to recognize late or duplicate answers.
-const MAX_RECENT_PARTS: usize = 64;
+pub(super) const MAX_RECENT_PARTS: usize = 64;
 /// Maximum number of parts in flight on an HTTP/1.1 connection.
 const MAX_HTTP_PARTS: usize = 1;
 /// Factor on the silence limit for HTTP/1.1, where each request in flight has its own connection and a later request may be
@@ -139,6 +139,10 @@
     queue: SendQueue,
     pub(super) parts: Vec<PartInFlight>,
     pub(super) recent: VecDeque<RecentPart>,
+    /// Number of answers in a row that belonged to no part in flight.
+    pub(super) ignored_answers: usize,
+    /// Bytes of this connection in the total of all connections to leaf servers.
+    pub(super) counted_bytes: usize,
     pub(super) input: Vec<u8>,
     pub(super) reader: MessageReader,
     /// Time since which an incomplete answer has been arriving.
@@ -162,6 +166,8 @@
             queue: SendQueue::default(),
             parts: Vec::new(),
             recent: VecDeque::new(),
+            ignored_answers: 0,
+            counted_bytes: 0,
             input: Vec::new(),
             reader: MessageReader::responses(frames::MAX_FRAME_BYTES),
             answer_began_at: None,
--- a/src/net/replica/error.rs
+++ b/src/net/replica/error.rs
@@ -31,6 +31,12 @@
     /// An answer names a part that neither is nor recently was in flight on this connection.
     #[error("answer to an unknown part")]
     UnknownPart,
+    /// Too many answers in a row named parts that are no longer in flight.
+    #[error("answers repeated too often")]
+    RepeatedAnswers,
+    /// The incomplete answers of all leaf servers together exceed their share of the memory.
+    #[error("too many incomplete answers at once")]
+    TooManyIncompleteAnswers,
     /// The answer to a pre-check was received for a part that was sent in full.
     #[error("pre-check answer to a full query")]
     UnexpectedPreCheckAnswer,
--- a/src/net/replica/events.rs
+++ b/src/net/replica/events.rs
@@ -2,7 +2,9 @@
 //! gets exactly one outcome, also when the connection ends.
 
 use crate::decisions::api::ReplicaId;
+use crate::net::backlog::Work;
 use crate::net::connection_table::Connection;
+use crate::net::replica::answers::ReadProgress;
 use crate::net::replica::connection::AttemptResult;
 use crate::net::replica::error::ReplicaError;
 use crate::net::replica::pool::{connections_to, max_idle_s, max_silence_s, ReplicaConnections};
@@ -13,6 +15,9 @@
 /// Interval after which a connection is checked again that was in use at the end of its idle time (seconds).
 const IDLE_RECHECK_S: f64 = 0.5;
 
+/// Size up to which an incomplete answer is kept whatever the others take.
+const SMALL_ANSWER_BYTES: usize = 32 * 1024;
+
 impl ReplicaConnections {
     /// Handles an event of a connection that is readable or writable, or has failed.
     pub(in crate::net) fn connection_event(
@@ -40,8 +45,16 @@
         };
         let mut results: Vec<AttemptResult> = Vec::new();
         let read = connection.read(runtime.now, &mut results);
+        let read = self.check_buffered(runtime, key, read);
         // Nothing is written to a connection that can't be used any more: a call on it would be lost, and might still run.
-        let result = read.and_then(|()| self.flush(runtime, key, list_until));
+        let result = match read {
+            Ok(ReadProgress::Drained) => self.flush(runtime, key, list_until),
+            Ok(ReadProgress::MoreInput) => {
+                runtime.backlog.push(Work::Connection(key));
+                Ok(())
+            }
+            Err(error) => Err(error),
+        };
         let Some(replica) = record_received(runtime, key) else {
             return;
         };
@@ -57,6 +70,26 @@
         }
     }
 
+    /// Updates the total of buffered bytes after a read. An answer that is not complete is given up if the total exceeds its
+    /// limit.
+    fn check_buffered(
+        &mut self,
+        runtime: &mut Runtime,
+        key: ConnectionKey,
+        read: Result<ReadProgress, ReplicaError>,
+    ) -> Result<ReadProgress, ReplicaError> {
+        let Some(Connection::Replica(connection)) = runtime.connections.get_mut(key) else {
+            return read;
+        };
+        let is_large = connection.buffered_bytes() > SMALL_ANSWER_BYTES;
+        let is_over_limit = self.count_buffered(connection);
+        if read.is_ok() && is_large && is_over_limit {
+            let error = ReplicaError::TooManyIncompleteAnswers;
+            return Err(connection.reject_answer(None, error));
+        }
+        read
+    }
+
     /// Handles a deadline of a connection: it was not established in time, an answer is incomplete, or it may have been
     /// unused for too long.
     pub(in crate::net) fn connection_due(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
--- a/src/net/replica/pool.rs
+++ b/src/net/replica/pool.rs
@@ -75,6 +75,9 @@
     postponed: Vec<ConnectionKey>,
     /// Limit on unwritten bytes per connection.
     max_waiting_bytes: usize,
+    /// Bytes of incomplete answers on all connections, and their limit.
+    buffered_bytes: usize,
+    max_buffered_bytes: usize,
 }
 
 impl ReplicaConnections {
@@ -88,6 +91,8 @@
             postponed: Vec::new(),
             max_waiting_bytes: (memory_bytes / MEMORY_DIVISOR / max_replica_connections)
                 .clamp(MIN_WAITING_BYTES, MAX_WAITING_BYTES),
+            buffered_bytes: 0,
+            max_buffered_bytes: memory_bytes / MEMORY_DIVISOR,
         }
     }
 
@@ -96,6 +101,14 @@
         self.count
     }
 
+    /// Updates a connection's share of the buffered bytes. Returns whether all together exceed their limit.
+    pub(super) fn count_buffered(&mut self, connection: &mut ReplicaConnection) -> bool {
+        let bytes = connection.buffered_bytes();
+        self.buffered_bytes = self.buffered_bytes - connection.counted_bytes + bytes;
+        connection.counted_bytes = bytes;
+        self.buffered_bytes > self.max_buffered_bytes
+    }
+
     /// Returns whether writes were postponed in this iteration of the event loop.
     pub(in crate::net) fn has_postponed_writes(&self) -> bool {
         !self.postponed.is_empty()
@@ -331,6 +344,7 @@
         connection: &ReplicaConnection,
     ) {
         self.count -= 1;
+        self.buffered_bytes -= connection.counted_bytes;
         if !connection.is_unused() {
             let rule = Invariant::AttemptLost;
             runtime.coordinator.invariants_mut().violated(rule);
