Peers of the store get turns, and a bound on connections, memory and disk writes

Callers got no answers while a peer of the store sent requests at full speed, and the mixer took 355 MB of its 64 MB. Cause: PeerConnection::exchange collected all messages that a peer had sent before it answered the first; accepted connections had no limit; a single node drained its whole queue of operations, each with a write to disk, in one iteration; the mixer's own reads of settings and drains waited until clients left the queue empty; waiting values took up to 64 times 4 MiB; messages that arrived while an answer was written were dropped. Change: at most four messages and eight reads a turn; accepted connections are limited to 8 and 2 for each peer, the one that has been silent longest goes; buffers of all peers, and values that wait, take an eighth of the memory each; one operation a turn; the mixer's own reads come first; answers are written without reading.

--- a/crates/wharfhub-testbed/tests/flood.rs
+++ b/crates/wharfhub-testbed/tests/flood.rs
@@ -46,3 +46,11 @@
 fn other_clients_are_answered_in_time_beside_a_leaf_server_that_repeats_an_answer() {
     assert_bounded(FloodKind::LeafAnswers);
 }
+
+/// Peers of the store that sent requests at full speed held up the event loop, and their requests filled the memory (issue 64).
+#[rstest]
+fn other_clients_are_answered_in_time_beside_peers_of_the_store(
+    #[values(FloodKind::StorePeerRequests, FloodKind::StorePeerConnections)] kind: FloodKind,
+) {
+    assert_bounded(kind);
+}
--- a/src/net/operator_routing.rs
+++ b/src/net/operator_routing.rs
@@ -8,6 +8,7 @@
     phase_text, AcceptResult, AdminCall, AdminServer, MetricsSources, MAX_ACCEPTS_PER_ITERATION,
     UNKNOWN_CALL_REPLY,
 };
+use crate::net::backlog::{Work, MAX_ACCEPTS_PER_TURN};
 use crate::net::client::page_cache::RenderedPage;
 use crate::net::client::platform;
 use crate::net::error::NetError;
@@ -176,12 +177,14 @@
 
     /// Accepts pending connections of store peers.
     pub(super) fn accept_store_peers(&mut self) {
-        while let Some(store) = &mut self.store {
+        for _ in 0..MAX_ACCEPTS_PER_TURN {
+            let Some(store) = &mut self.store else { return };
             if !store.accept(&mut self.runtime) {
                 return;
             }
             self.complete_store_operations();
         }
+        self.runtime.backlog.push(Work::AcceptPeers);
     }
 
     /// Handles a readiness event on the connection of a store peer.
@@ -201,7 +204,8 @@
     /// Handles a client's request for a store key: GET reads the key, PUT writes it.
     pub(super) fn store_page(&mut self, key: ConnectionKey, method: &str, name: &str, body: &[u8]) {
         let Some(store) = &mut self.store else { return };
-        if let Err(error) = store.queue_request(key, method, name, body) {
+        let memory_bytes = self.runtime.memory_bytes;
+        if let Err(error) = store.queue_request(key, method, name, body, memory_bytes) {
             let body = format!("{{\"error\":\"{error}\"}}");
             return self.respond_from_store(key, error.status(), &body);
         }
@@ -235,7 +239,8 @@
         self.complete_store_operations();
     }
 
-    /// Responds to and applies each completed operation, and starts the next one.
+    /// Responds to and applies each completed operation. The next one starts in a later turn, because an operation may wait for
+    /// the disk.
     fn complete_store_operations(&mut self) {
         while let Some(operation) = self
             .store
@@ -243,9 +248,7 @@
             .and_then(|store| store.next_completed(&mut self.runtime))
         {
             self.complete_store_operation(operation);
-            if let Some(store) = &mut self.store {
-                store.begin_next(&mut self.runtime);
-            }
+            self.runtime.backlog.push(Work::StoreOperations);
         }
     }
 
--- a/src/net/runtime.rs
+++ b/src/net/runtime.rs
@@ -39,6 +39,8 @@
     /// Source of jitter, which prevents the mixers of a fleet from acting at the same time.
     pub(in crate::net) rng: oorandom::Rand64,
     pub(in crate::net) connections: SlotMap<ConnectionKey, Connection>,
+    /// Memory limit of the process (bytes).
+    pub(in crate::net) memory_bytes: usize,
     /// Maximum number of connections to clients and replicas together.
     pub(in crate::net) max_connections: usize,
     pub(in crate::net) coordinator: Coordinator,
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -96,6 +96,7 @@
         name: options.name,
         seed: options.seed,
         max_connections,
+        memory_bytes: options.max_memory_bytes,
     };
     let mut runtime = build_runtime(poll, setup, options.deployment);
     let discovery = DiscoveryClient::new(
@@ -134,6 +135,7 @@
     name: String,
     seed: u64,
     max_connections: usize,
+    memory_bytes: usize,
 }
 
 /// Creates the runtime and starts its clock.
@@ -154,6 +156,7 @@
         loop_metrics: LoopMetrics::default(),
         rng: oorandom::Rand64::new(u128::from(setup.seed) + 1),
         connections: SlotMap::with_key(),
+        memory_bytes: setup.memory_bytes,
         max_connections: setup.max_connections,
         coordinator: Coordinator::new(deployment.clone(), setup.seed, now),
         commands: Vec::new(),
--- a/src/net/store_peers.rs
+++ b/src/net/store_peers.rs
@@ -9,6 +9,7 @@
 pub(in crate::net) use contents::StoredChange;
 
 use crate::config::StoreSetup;
+use crate::net::backlog::Work;
 use crate::net::connection_table::Connection;
 use crate::net::error::NetError;
 use crate::net::runtime::Runtime;
@@ -17,7 +18,7 @@
 use crate::net::tokens::STORE;
 use crate::net::ConnectionKey;
 use crate::store::{Completed, Message, Operation, OperationSetup, Progress};
-use connection::Direction;
+use connection::{Direction, ReadProgress};
 use miniserde::json;
 use mio::net::{TcpListener, TcpStream};
 use std::collections::{BTreeMap, VecDeque};
@@ -30,6 +31,11 @@
 const REFRESH_INTERVAL_S: f64 = 2.0;
 /// Maximum number of queued operations.
 const MAX_WAITING_OPERATIONS: usize = 64;
+/// Connections from peers that are accepted at once: a fixed number, and more for each peer.
+const MIN_ACCEPTED: usize = 8;
+const ACCEPTED_PER_PEER: usize = 2;
+/// Divisor of the memory limit that gives the share for messages of peers, and that for the values of queued operations.
+const MEMORY_DIVISOR: usize = 8;
 
 /// The origin of an operation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,6 +94,12 @@
     value: Option<String>,
 }
 
+impl WaitingOperation {
+    fn value_bytes(&self) -> usize {
+        self.value.as_ref().map_or(0, String::len)
+    }
+}
+
 /// The operation in progress.
 struct RunningOperation {
     requester: Requester,
@@ -121,6 +133,8 @@
     listener: TcpListener,
     /// Open connections to peers, by node.
     connections: BTreeMap<u32, ConnectionKey>,
+    /// Open connections from peers.
+    accepted: Vec<ConnectionKey>,
     waiting: VecDeque<WaitingOperation>,
     running: Option<RunningOperation>,
     /// Number of the operation that was started last.
@@ -155,6 +169,7 @@
             setup,
             listener,
             connections: BTreeMap::new(),
+            accepted: Vec::new(),
             waiting: VecDeque::new(),
             running: None,
             last_operation: 0,
@@ -183,36 +198,44 @@
             return false;
         };
         let _ = stream.set_nodelay(true);
-        let peer = PeerConnection::from_peer(stream);
+        self.evict_if_full(runtime);
+        let peer = PeerConnection::from_peer(stream, runtime.now);
         let key = runtime.connections.insert(Connection::Peer(Box::new(peer)));
+        self.accepted.push(key);
         runtime.register(key);
         self.connection_event(runtime, key);
         true
     }
 
-    /// Queues reads of the mixer's keys, unless other operations are pending, and schedules the next refresh.
+    /// Queues reads of the mixer's keys before all other operations, unless some are pending, and schedules the next refresh.
     /// [`StorePeers::begin_next`] has to be called afterwards.
     pub(in crate::net) fn refresh(&mut self, runtime: &mut Runtime) {
-        if self.waiting.is_empty() && self.running.is_none() {
-            self.waiting
-                .extend(contents::KEYS.map(|key| WaitingOperation {
+        let waiting = self.waiting.iter().map(|operation| operation.requester);
+        let running = self.running.iter().map(|operation| operation.requester);
+        if !waiting.chain(running).any(|it| it == Requester::Refresh) {
+            // Clients that keep the queue full must not delay the operators' settings and drains.
+            for key in contents::KEYS.into_iter().rev() {
+                self.waiting.push_front(WaitingOperation {
                     requester: Requester::Refresh,
                     key: key.to_string(),
                     value: None,
-                }));
+                });
+            }
         }
         runtime
             .timers
             .add(runtime.now + REFRESH_INTERVAL_S, Deadline::StoreRefresh);
     }
 
-    /// Queues a client's request: GET reads a key, PUT writes it. [`StorePeers::begin_next`] has to be called afterwards.
+    /// Queues a client's request: GET reads a key, PUT writes it. `memory_bytes` is the memory limit of the process.
+    /// [`StorePeers::begin_next`] has to be called afterwards.
     pub(in crate::net) fn queue_request(
         &mut self,
         client: ConnectionKey,
         method: &str,
         key: &str,
         body: &[u8],
+        memory_bytes: usize,
     ) -> Result<(), StoreRequestError> {
         let is_write = match method {
             "GET" => false,
@@ -223,7 +246,10 @@
         if !contents::is_valid(key, value, is_write) {
             return Err(StoreRequestError::Invalid);
         }
-        if self.waiting.len() >= MAX_WAITING_OPERATIONS {
+        let waiting_bytes: usize = self.waiting.iter().map(WaitingOperation::value_bytes).sum();
+        let is_over_limit =
+            waiting_bytes > 0 && waiting_bytes + value.len() > memory_bytes / MEMORY_DIVISOR;
+        if self.waiting.len() >= MAX_WAITING_OPERATIONS || (is_write && is_over_limit) {
             return Err(StoreRequestError::TooMany);
         }
         self.waiting.push_back(WaitingOperation {
@@ -367,7 +393,7 @@
 
     fn connect(&mut self, runtime: &mut Runtime, peer: &Peer) -> Option<ConnectionKey> {
         let stream = TcpStream::connect(peer.address).ok()?;
-        let connection = PeerConnection::to(peer.node, stream);
+        let connection = PeerConnection::to(peer.node, stream, runtime.now);
         let key = runtime
             .connections
             .insert(Connection::Peer(Box::new(connection)));
@@ -384,9 +410,12 @@
         };
         let direction = peer.direction();
         let mut received = Vec::new();
-        if peer.exchange(&mut received).is_err() {
-            self.drop_connection(runtime, key);
+        match peer.exchange(runtime.now, &mut received) {
+            Ok(ReadProgress::Drained) => {}
+            Ok(ReadProgress::MoreInput) => runtime.backlog.push(Work::Connection(key)),
+            Err(_) => self.drop_connection(runtime, key),
         }
+        self.drop_if_over_memory_limit(runtime, key);
         match direction {
             Direction::To(node) => self.tasks.push(Task::HandleAnswers {
                 node,
@@ -406,16 +435,57 @@
             let bytes = answer.map(|answer| answer.encode()).unwrap_or_default();
             peer.queue_answer(bytes);
             let is_write_buffer_full = peer.is_write_buffer_full();
-            if peer.exchange(&mut Vec::new()).is_err() || is_write_buffer_full {
+            if peer.flush().is_err() || is_write_buffer_full {
                 return self.drop_connection(runtime, key);
             }
+            self.drop_if_over_memory_limit(runtime, key);
+        }
+    }
+
+    /// Drops the accepted connection that has been silent for the longest time if no more may be accepted.
+    fn evict_if_full(&mut self, runtime: &mut Runtime) {
+        if self.accepted.len() < self.max_accepted() {
+            return;
+        }
+        let received_at = |key: &ConnectionKey| match runtime.connections.get(*key) {
+            Some(Connection::Peer(peer)) => peer.received_at(),
+            _ => f64::NEG_INFINITY,
+        };
+        let by_time =
+            |a: &&ConnectionKey, b: &&ConnectionKey| received_at(a).total_cmp(&received_at(b));
+        if let Some(oldest) = self.accepted.iter().min_by(by_time).copied() {
+            self.drop_connection(runtime, oldest);
+        }
+    }
+
+    /// Returns how many connections are accepted at once. A peer that restarts may leave some behind.
+    fn max_accepted(&self) -> usize {
+        MIN_ACCEPTED + ACCEPTED_PER_PEER * self.setup.peers.len()
+    }
+
+    /// Drops a connection if the buffers of all connections to and from peers exceed their share of the memory. The only one
+    /// with anything buffered is kept; the size of a message has its own limit.
+    fn drop_if_over_memory_limit(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
+        let buffered_bytes = |key: &ConnectionKey| match runtime.connections.get(*key) {
+            Some(Connection::Peer(peer)) => peer.buffered_bytes(),
+            _ => 0,
+        };
+        let keys = self.accepted.iter().chain(self.connections.values());
+        let all: usize = keys.map(buffered_bytes).sum();
+        let own = buffered_bytes(&key);
+        if all > runtime.memory_bytes / MEMORY_DIVISOR && all > own && own > 0 {
+            runtime.log_peer(|| {
+                format!("store: connection closed ({all} bytes buffered for all peers)")
+            });
+            self.drop_connection(runtime, key);
         }
     }
 
     fn drop_connection(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
         if let Some(Connection::Peer(peer)) = runtime.connections.remove(key) {
-            if let Direction::To(node) = peer.direction() {
-                self.connections.remove(&node);
+            match peer.direction() {
+                Direction::To(node) => drop(self.connections.remove(&node)),
+                Direction::FromPeer => self.accepted.retain(|other| *other != key),
             }
         }
     }
