A VRRP peer gets turns, and keeps one timer

A VRRP peer that sent without pause kept an iteration going until its datagrams were read, and each advertisement added a timer that stayed until its time. Change: 16 datagrams a turn; a timer is added only if no earlier one is pending.

--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -332,7 +332,7 @@
             Deadline::ListLease => self.lease_due(),
             Deadline::ApplySettings => self.apply_due_settings(),
             Deadline::OpenListeners => self.open_listeners(),
-            Deadline::VrrpTimer => self.handle_vrrp_event(crate::vrrp::Event::Timer),
+            Deadline::VrrpTimer => self.handle_vrrp_timer(),
             Deadline::StoreRefresh => self.refresh_from_store(),
             Deadline::StoreOperation(id) => self.handle_store_operation_timeout(id),
             Deadline::Phase => self.handle_phase_timer(),
--- a/src/net/operator_routing.rs
+++ b/src/net/operator_routing.rs
@@ -19,7 +19,7 @@
 use crate::net::store_peers::{
     completed_body, CompletedOperation, Quorum, Requester, StorePeers, StoredChange,
 };
-use crate::net::vrrp_socket::{VrrpChange, VrrpSocket};
+use crate::net::vrrp_socket::{VrrpChange, VrrpReceived, VrrpSocket};
 use crate::net::ConnectionKey;
 use crate::store::StoreError;
 use crate::vrrp::Event;
@@ -29,6 +29,9 @@
 /// Limit on the names in a log line. Above the limit only their number is logged.
 const MAX_LOGGED_NAMES: usize = 20;
 
+/// Maximum number of VRRP messages that are received in one turn.
+const MAX_VRRP_MESSAGES_PER_TURN: usize = 16;
+
 /// Handlers of the admin interface.
 impl Mixer {
     /// Opens the admin interface.
@@ -358,15 +361,25 @@
         Ok(())
     }
 
-    /// Receives and handles all pending VRRP messages.
+    /// Receives and handles the VRRP messages of one turn.
     pub(super) fn handle_vrrp_socket_event(&mut self) {
-        while let Some(event) = self
-            .vrrp
-            .as_ref()
-            .and_then(|vrrp| vrrp.receive(&mut self.runtime))
-        {
-            self.handle_vrrp_event(event);
+        for _ in 0..MAX_VRRP_MESSAGES_PER_TURN {
+            let Some(vrrp) = &self.vrrp else { return };
+            match vrrp.receive(&mut self.runtime) {
+                VrrpReceived::Event(event) => self.handle_vrrp_event(event),
+                VrrpReceived::Ignored => {}
+                VrrpReceived::Nothing => return,
+            }
+        }
+        self.runtime.backlog.push(Work::Vrrp);
+    }
+
+    /// Handles the expiry of the VRRP timer.
+    pub(super) fn handle_vrrp_timer(&mut self) {
+        if let Some(vrrp) = &mut self.vrrp {
+            vrrp.timer_expired();
         }
+        self.handle_vrrp_event(Event::Timer);
     }
 
     /// Forwards an event to the VRRP state machine, and opens or closes the client listeners if the router enters or leaves
--- a/src/net/vrrp_socket.rs
+++ b/src/net/vrrp_socket.rs
@@ -30,6 +30,18 @@
     router: Router,
     socket: UdpSocket,
     peers: Vec<SocketAddr>,
+    /// Time of the pending timer; infinite if none is pending.
+    timer_at: f64,
+}
+
+/// Result of receiving one message.
+pub(in crate::net) enum VrrpReceived {
+    /// Valid advertisement of a configured peer.
+    Event(Event),
+    /// Message that is ignored.
+    Ignored,
+    /// No message is available.
+    Nothing,
 }
 
 impl VrrpSocket {
@@ -55,6 +67,7 @@
             router: Router::new(setup.router),
             socket,
             peers: setup.peers,
+            timer_at: f64::INFINITY,
         })
     }
 
@@ -63,36 +76,51 @@
         self.router.state()
     }
 
-    /// Reads messages until a valid advertisement of a configured peer is found. Returns `None` if no more messages are
-    /// available.
-    pub(in crate::net) fn receive(&self, runtime: &mut Runtime) -> Option<Event> {
+    /// Receives one message.
+    pub(in crate::net) fn receive(&self, runtime: &mut Runtime) -> VrrpReceived {
         let mut buffer = [0; MAX_MESSAGE_BYTES];
-        loop {
-            let (count, from) = match self.socket.recv_from(&mut buffer) {
-                Ok(received) => received,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                // A peer that is down causes this error; later messages are not affected.
-                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => continue,
-                Err(_) => return None,
-            };
-            if !self.peers.contains(&from) {
-                continue;
+        let (count, from) = match self.socket.recv_from(&mut buffer) {
+            Ok(received) => received,
+            Err(error) => {
+                return match error.kind() {
+                    // A peer that is down causes the second error; later messages are not affected.
+                    io::ErrorKind::Interrupted | io::ErrorKind::ConnectionRefused => {
+                        VrrpReceived::Ignored
+                    }
+                    _ => VrrpReceived::Nothing,
+                };
             }
-            let IpAddr::V4(address) = from.ip() else {
-                continue;
-            };
-            match Advertisement::decode(&buffer[..count]) {
-                Ok(advertisement) => {
-                    return Some(Event::Received {
-                        from: address,
-                        advertisement,
-                    })
-                }
-                Err(error) => runtime.log_peer(|| format!("vrrp: from {from}: {error}")),
+        };
+        let address = match from.ip() {
+            IpAddr::V4(address) if self.peers.contains(&from) => address,
+            _ => return VrrpReceived::Ignored,
+        };
+        match Advertisement::decode(&buffer[..count]) {
+            Ok(advertisement) => VrrpReceived::Event(Event::Received {
+                from: address,
+                advertisement,
+            }),
+            Err(error) => {
+                runtime.log_peer(|| format!("vrrp: from {from}: {error}"));
+                VrrpReceived::Ignored
             }
         }
     }
 
+    /// Records that the pending timer has expired.
+    pub(in crate::net) fn timer_expired(&mut self) {
+        self.timer_at = f64::INFINITY;
+    }
+
+    /// Adds the router's timer to the queue, unless an earlier one is pending: each advertisement restarts the timer.
+    fn schedule_timer(&mut self, runtime: &mut Runtime) {
+        let Some(at) = self.router.timer_at().filter(|at| *at < self.timer_at) else {
+            return;
+        };
+        self.timer_at = at;
+        runtime.timers.add(at, Deadline::VrrpTimer);
+    }
+
     /// Passes an event to the state machine and sends the resulting advertisement. Returns the change that affects the
     /// listeners, if any.
     pub(in crate::net) fn handle(
@@ -110,9 +138,7 @@
             }
         }
         let state = self.router.state();
-        if let Some(at) = self.router.timer_at() {
-            runtime.timers.add(at, Deadline::VrrpTimer);
-        }
+        self.schedule_timer(runtime);
         if state == before {
             return None;
         }
