--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -99,6 +99,17 @@
     SuccessorLost,
 }
 
+/// Result of accepting a connection of a successor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SuccessorAccept {
+    /// The successor is connected, and its messages have to be received.
+    Accepted,
+    /// The connection was closed, because another successor is connected or the process has stopped.
+    Closed,
+    /// No connection is pending.
+    NonePending,
+}
+
 /// The part of the state for a successor that comes from the discovery client.
 pub(super) struct DiscoveryFacts {
     pub(super) address: Option<SocketAddr>,
@@ -270,30 +281,30 @@
         }
     }
 
-    /// Accepts a successor from the rendezvous socket. At most one is accepted at a time, and none after the process has
-    /// stopped; other connections are closed, and their processes retry. Returns whether a successor was accepted, whose
-    /// messages then have to be received.
-    pub(super) fn accept_successor(&mut self, runtime: &mut Runtime, has_stopped: bool) -> bool {
-        loop {
-            let Some(Ok((mut stream, _))) = self.rendezvous.as_ref().map(UnixListener::accept)
-            else {
-                return false;
-            };
-            if self.successor.is_some() || has_stopped {
-                continue;
-            }
-            let both = Interest::READABLE | Interest::WRITABLE;
-            let registry = runtime.poll.registry();
-            if let Err(error) = registry.register(&mut stream, SUCCESSOR, both) {
-                runtime.log(&format!("poll: {error}"));
-                return false;
-            }
-            let timeout_at = runtime.now + REQUEST_TIMEOUT_S;
-            self.successor = Some(Link::new(stream, Stage::SuccessorConnected, timeout_at));
-            runtime.timers.add(timeout_at, Deadline::Handover);
-            runtime.log("handover: successor connected");
-            return true;
+    /// Accepts one connection from the rendezvous socket. At most one successor is accepted at a time, and none after the
+    /// process has stopped; other connections are closed, and their processes retry.
+    pub(super) fn accept_successor(
+        &mut self,
+        runtime: &mut Runtime,
+        has_stopped: bool,
+    ) -> SuccessorAccept {
+        let Some(Ok((mut stream, _))) = self.rendezvous.as_ref().map(UnixListener::accept) else {
+            return SuccessorAccept::NonePending;
+        };
+        if self.successor.is_some() || has_stopped {
+            return SuccessorAccept::Closed;
+        }
+        let both = Interest::READABLE | Interest::WRITABLE;
+        let registry = runtime.poll.registry();
+        if let Err(error) = registry.register(&mut stream, SUCCESSOR, both) {
+            runtime.log(&format!("poll: {error}"));
+            return SuccessorAccept::Closed;
         }
+        let timeout_at = runtime.now + REQUEST_TIMEOUT_S;
+        self.successor = Some(Link::new(stream, Stage::SuccessorConnected, timeout_at));
+        runtime.timers.add(timeout_at, Deadline::Handover);
+        runtime.log("handover: successor connected");
+        SuccessorAccept::Accepted
     }
 
     /// Returns the message with the state for a successor. From now on attempts are recorded for the successor, and the retry
--- a/src/net/handover/link.rs
+++ b/src/net/handover/link.rs
@@ -8,6 +8,8 @@
 /// Maximum length of a line (bytes). The state of a mixer that knows 10,000 servers and ten classes takes 22.5 MB.
 pub(super) const MAX_LINE_BYTES: usize = 48 * 1024 * 1024;
 const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Maximum number of reads in one turn. The state of a large mixer takes some turns.
+const MAX_READS_PER_TURN: usize = 64;
 
 /// The stage of the handover on one connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,8 +42,9 @@
 pub(in crate::net) struct Received {
     /// Complete lines, without their ends.
     pub(in crate::net) lines: Vec<String>,
-    /// Error that ends the connection after these lines, if any.
-    pub(in crate::net) result: Result<(), HandoverError>,
+    /// Error that ends the connection after these lines, if any. Otherwise, whether more data may be available, for which the
+    /// connection needs another turn.
+    pub(in crate::net) result: Result<bool, HandoverError>,
 }
 
 impl Link {
@@ -66,11 +69,11 @@
         self.flush()
     }
 
-    /// Writes as much as the socket accepts, then reads all available data.
+    /// Writes as much as the socket accepts, then reads the data of one turn.
     pub(super) fn receive(&mut self) -> Received {
         let flushed = self.flush();
         let scanned = self.read_buffer.len(); // earlier bytes contain no line end
-        let result = self.read().and(flushed);
+        let result = flushed.and(self.read());
         let mut lines = Vec::new();
         let end = self.read_buffer[scanned..]
             .iter()
@@ -86,14 +89,14 @@
         Ok(write_available(&mut self.stream, &mut self.write_buffer)?)
     }
 
-    /// Reads into the buffer until no more data is available.
-    fn read(&mut self) -> Result<(), HandoverError> {
+    /// Reads into the buffer for the length of a turn. Returns whether more data may be available.
+    fn read(&mut self) -> Result<bool, HandoverError> {
         let mut buffer = [0; READ_BUFFER_BYTES];
-        loop {
+        for _ in 0..MAX_READS_PER_TURN {
             match self.stream.read(&mut buffer) {
                 Ok(0) => return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
                 Ok(count) => self.read_buffer.extend_from_slice(&buffer[..count]),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(false),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
             }
@@ -101,5 +104,6 @@
                 return Err(HandoverError::LineTooLong);
             }
         }
+        Ok(true)
     }
 }
--- a/src/net/lifecycle_routing.rs
+++ b/src/net/lifecycle_routing.rs
@@ -2,11 +2,12 @@
 //! subsystem and carries out on the others what it returns.
 
 use crate::config::InheritedListener;
+use crate::net::backlog::{Work, MAX_ACCEPTS_PER_TURN};
 use crate::net::error::NetError;
 use crate::net::event_loop::Mixer;
 use crate::net::handover::{
     ConnectionCounts, ConnectionLimits, DiscoveryFacts, Handover, HandoverError, HandoverEvent,
-    Side, StartKind, StateMessage,
+    Side, StartKind, StateMessage, SuccessorAccept,
 };
 use crate::net::lifecycle::{Phase, PhaseAction, StopAction};
 use crate::net::tokens::PROTOCOLS;
@@ -192,13 +193,18 @@
 
     /// Accepts successors that have connected to the rendezvous socket.
     pub(super) fn handle_rendezvous_event(&mut self) {
-        while let Some(handover) = &mut self.handover {
-            let has_stopped = self.lifecycle.phase() == Phase::Stopped;
-            if !handover.accept_successor(&mut self.runtime, has_stopped) {
+        for _ in 0..MAX_ACCEPTS_PER_TURN {
+            let Some(handover) = &mut self.handover else {
                 return;
+            };
+            let has_stopped = self.lifecycle.phase() == Phase::Stopped;
+            match handover.accept_successor(&mut self.runtime, has_stopped) {
+                SuccessorAccept::Accepted => self.handle_link_event(Side::Successor),
+                SuccessorAccept::Closed => {}
+                SuccessorAccept::NonePending => return,
             }
-            self.handle_link_event(Side::Successor);
         }
+        self.runtime.backlog.push(Work::Rendezvous);
     }
 
     /// Reads and writes the connection to the predecessor or the successor and handles the received messages.
@@ -215,8 +221,10 @@
                 return self.end_link(side, &error);
             }
         }
-        if let Err(error) = received.result {
-            self.end_link(side, &error);
+        match received.result {
+            Ok(false) => {}
+            Ok(true) => self.runtime.backlog.push(Work::Link(side)),
+            Err(error) => self.end_link(side, &error),
         }
     }
 
