Discovery gets turns, and a chunked body has a limit on its framing

Cause: DiscoveryConnection::read_answer read until the socket was empty; http.rs limited each trailer line, not their sum. Change: 256 reads a turn (4 MiB, a list of a large fleet); trailers take 16 KiB at most, size lines and terminators 8 times the allowed body and 16 KiB. A connection of discovery that waits for its turn is read before clients in the next iteration. Test: a_chunked_body_with_far_more_framing_than_content_is_rejected (never ended before).

--- a/crates/wharfhub-testbed/tests/flood.rs
+++ b/crates/wharfhub-testbed/tests/flood.rs
@@ -54,3 +54,17 @@
 ) {
     assert_bounded(kind);
 }
+
+/// Discovery that sent an answer without end, and VRRP peers, kept the event loop busy for as long as they sent (issue 64).
+#[rstest]
+fn other_clients_are_answered_in_time_beside_discovery_vrrp_and_operators(
+    #[values(
+        FloodKind::DiscoveryTrailer,
+        FloodKind::VrrpAdvertisements,
+        FloodKind::VrrpGarbage,
+        FloodKind::AdminCalls
+    )]
+    kind: FloodKind,
+) {
+    assert_bounded(kind);
+}
--- a/src/net/discovery/connection.rs
+++ b/src/net/discovery/connection.rs
@@ -10,6 +10,9 @@
 /// next call and its answer, this has to fit into the part of the drain grace that is used, 0.3 s of 0.5 s.
 const MAX_STALL_S: f64 = 0.15;
 const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Maximum number of reads in one turn. A list of a large fleet should take one turn, because no client is served between the
+/// first and the last byte of a change.
+const MAX_READS_PER_TURN: usize = 256;
 const STATUS_OK: u16 = 200;
 
 /// The purpose of a connection to discovery.
@@ -96,6 +99,8 @@
     pub(super) open_call: Option<OpenCall>,
     /// Time since which the call's answer has been arriving.
     answer_began_at: Option<f64>,
+    /// Whether the last turn ended before the socket was read to its end.
+    pub(super) needs_turn: bool,
     /// Whether a complete answer was received that can't be used.
     pub(super) has_unusable_answer: bool,
 }
@@ -161,6 +166,7 @@
             is_connected: false,
             open_call: None,
             answer_began_at: None,
+            needs_turn: false,
             has_unusable_answer: false,
         }
     }
@@ -242,8 +248,8 @@
         Ok(true)
     }
 
-    /// Reads up to the end of an answer or until the socket has no more data. The data was received after
-    /// `previous_iteration_at`, the previous time at which the event loop read the socket.
+    /// Reads up to the end of an answer, until the socket has no more data, or for the length of a turn. The data was received
+    /// after `previous_iteration_at`, the previous time at which the event loop read the socket.
     pub(super) fn receive(&mut self, previous_iteration_at: f64, now: f64) -> Received {
         let length_before = self.received_bytes();
         let received = self.read_answer(previous_iteration_at);
@@ -261,7 +267,8 @@
 
     fn read_answer(&mut self, previous_iteration_at: f64) -> Received {
         let mut buffer = [0; READ_BUFFER_BYTES];
-        loop {
+        self.needs_turn = false;
+        for _ in 0..MAX_READS_PER_TURN {
             let count = match self.stream.read(&mut buffer) {
                 Ok(count) => count,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
@@ -285,6 +292,8 @@
                 Err(error) => return Received::Failed(error.into()),
             }
         }
+        self.needs_turn = true;
+        Received::Nothing
     }
 
     /// Marks an answer as the last one on its connection if more bytes follow it in the socket, as the reader does for those in
--- a/src/net/discovery/routing.rs
+++ b/src/net/discovery/routing.rs
@@ -2,6 +2,7 @@
 //! result to the next.
 
 use crate::decisions::api::ReplicaEntry;
+use crate::net::backlog::Work;
 use crate::net::discovery::answers::{
     AnswerContent, AnsweredCall, FailedCall, ListAnswer, PreviousCalls, ReadOutcome,
 };
@@ -109,7 +110,8 @@
         for key in self.discovery.connections() {
             let token = token(key);
             let has_event = events.iter().any(|event| event.token() == token);
-            if is_delayed || has_event {
+            let waits_for_turn = self.runtime.backlog.contains(Work::Connection(key));
+            if is_delayed || has_event || waits_for_turn {
                 self.discovery_event(key);
                 handled.push(token);
             }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -12,6 +12,9 @@
 const MAX_HEADERS: usize = 64;
 /// Limit on a chunk size line, and on a trailer line.
 const MAX_CHUNK_LINE_BYTES: usize = 1024;
+/// Limit on the bytes of a chunked body beside its content, for each byte of content that is allowed: a size line and a terminator for
+/// each byte, with room for extensions.
+const MAX_CHUNK_OVERHEAD_FACTOR: usize = 8;
 /// Line terminator after the data of a chunk.
 const CRLF: &[u8] = b"\r\n";
 
@@ -32,7 +35,7 @@
         /// Maximum length of a body (bytes).
         limit: usize,
     },
-    /// Head with too many bytes or headers, or overlong trailer line.
+    /// Head with too many bytes or headers, overlong trailer line, or chunked body with far more framing than content.
     #[error("headers too large")]
     HeadTooLarge,
     /// End of the connection before the end of the message.
@@ -129,6 +132,10 @@
     remaining_bytes: usize,
     /// Whether the chunk of size 0 has been read, after which only trailers follow.
     is_in_trailers: bool,
+    /// Bytes of size lines and chunk terminators.
+    overhead_bytes: usize,
+    /// Bytes of trailers.
+    trailer_bytes: usize,
 }
 
 /// Message whose head has been parsed and whose body is incomplete.
@@ -450,12 +457,13 @@
         max_body_bytes: usize,
     ) -> Result<bool, HttpError> {
         let mut consumed_bytes = 0;
+        let (body_bytes_before, trailer_bytes_before) = (body.len(), self.trailer_bytes);
         let is_complete = loop {
             let rest = &buffer[consumed_bytes..];
             let step = if self.remaining_bytes > 0 {
                 self.read_data(rest, body)?
             } else if self.is_in_trailers {
-                read_trailer(rest)?
+                self.read_trailer(rest)?
             } else {
                 self.read_size(rest, body.len(), max_body_bytes)?
             };
@@ -469,6 +477,13 @@
             }
         };
         buffer.drain(..consumed_bytes);
+        let content_bytes = body.len() - body_bytes_before;
+        let trailer_bytes = self.trailer_bytes - trailer_bytes_before;
+        self.overhead_bytes += consumed_bytes - content_bytes - trailer_bytes;
+        let max_overhead_bytes = MAX_HEAD_BYTES + MAX_CHUNK_OVERHEAD_FACTOR * max_body_bytes;
+        if self.overhead_bytes > max_overhead_bytes || self.trailer_bytes > MAX_HEAD_BYTES {
+            return Err(HttpError::HeadTooLarge);
+        }
         Ok(is_complete)
     }
 
@@ -493,6 +508,18 @@
         Ok(ChunkStep::Consumed(CRLF.len()))
     }
 
+    /// Skips one trailer line. An empty line ends the body.
+    fn read_trailer(&mut self, rest: &[u8]) -> Result<ChunkStep, HttpError> {
+        let end = rest.iter().position(|byte| *byte == b'\n');
+        self.trailer_bytes += end.map_or(0, |end| end + 1);
+        match end {
+            Some(end) if end == 0 || &rest[..end] == b"\r" => Ok(ChunkStep::Complete(end + 1)),
+            Some(end) => Ok(ChunkStep::Consumed(end + 1)),
+            None if rest.len() > MAX_CHUNK_LINE_BYTES => Err(HttpError::HeadTooLarge),
+            None => Ok(ChunkStep::Incomplete),
+        }
+    }
+
     /// Reads the line with the size of the next chunk.
     fn read_size(
         &mut self,
@@ -519,16 +546,6 @@
     }
 }
 
-/// Skips one trailer line. An empty line ends the body.
-fn read_trailer(rest: &[u8]) -> Result<ChunkStep, HttpError> {
-    match rest.iter().position(|byte| *byte == b'\n') {
-        Some(end) if end == 0 || &rest[..end] == b"\r" => Ok(ChunkStep::Complete(end + 1)),
-        Some(end) => Ok(ChunkStep::Consumed(end + 1)),
-        None if rest.len() > MAX_CHUNK_LINE_BYTES => Err(HttpError::HeadTooLarge),
-        None => Ok(ChunkStep::Incomplete),
-    }
-}
-
 fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- a/src/net/http/tests.rs
+++ b/src/net/http/tests.rs
@@ -143,3 +143,38 @@
     assert_eq!(message.body, b"a");
     assert_eq!(message.keep_alive, keep_alive);
 }
+
+/// Guards against a peer that keeps a message open for ever by framing that is no content (issue 64).
+#[rstest]
+#[case::trailers("0\r\n", "a: b\r\n")]
+#[case::extensions("", "1;extension=0123456789\r\nx\r\n")]
+fn a_chunked_body_with_far_more_framing_than_content_is_rejected(
+    #[case] start: &str,
+    #[case] repeated: &str,
+) {
+    const LIMIT: usize = 1000;
+    let mut reader = MessageReader::requests(LIMIT);
+    let head = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{start}");
+    let mut buffer = head.into_bytes();
+    assert_eq!(reader.read(&mut buffer, false), Ok(None));
+    let mut received_bytes = 0;
+    let error = loop {
+        received_bytes += repeated.len();
+        buffer.extend_from_slice(repeated.as_bytes());
+        match reader.read(&mut buffer, false) {
+            Ok(message) => assert_eq!(message, None),
+            Err(error) => break error,
+        }
+    };
+    assert!(
+        matches!(
+            error,
+            HttpError::HeadTooLarge | HttpError::BodyTooLarge { .. }
+        ),
+        "{error}"
+    );
+    assert!(
+        received_bytes < 32 * LIMIT,
+        "{received_bytes} bytes were read"
+    );
+}
