Memory of a crowd of clients is counted whole, and released early

Cause: only the lengths of bodies and unread input were counted, not capacities, headers, payloads in flight or responses; a lingering connection kept its buffers for a second, an idle one for ever; buffers doubled; the sum was taken over all connections for each read. Change: each client's share of one total is kept up to date; buffers grow exactly and are released after a request, and at the last response; above twice the limit the oldest response that its client does not read is given up.

--- a/crates/wharfhub-testbed/tests/flood.rs
+++ b/crates/wharfhub-testbed/tests/flood.rs
@@ -68,3 +68,17 @@
 ) {
     assert_bounded(kind);
 }
+
+/// Hundreds of clients that stop within a large request, send many short fields, or do not read their answers, made a process exceed
+/// its memory limit (issue 64).
+#[rstest]
+fn memory_stays_within_its_limit_beside_a_crowd_of_clients(
+    #[values(
+        FloodKind::HalfRequests,
+        FloodKind::ManyFields,
+        FloodKind::UnreadAnswers
+    )]
+    kind: FloodKind,
+) {
+    assert_bounded(kind);
+}
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -13,6 +13,8 @@
 
 /// Buffer size for one read from a socket.
 pub(super) const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Input buffer that a connection keeps between two requests.
+const MAX_KEPT_INPUT_BYTES: usize = READ_BUFFER_BYTES;
 /// Limit on the input that is read while a request is in flight. Further input stays in the socket.
 const MAX_READ_AHEAD_BYTES: usize = 4 * 1024;
 /// Limit on the input that is discarded after the last response. Further input stays in the socket.
@@ -80,6 +82,10 @@
     pub(super) input: Vec<u8>,
     /// Response that is being written.
     pub(super) output: Output,
+    /// Bytes of the payload of the request in flight.
+    pub(super) request_bytes: usize,
+    /// Bytes of this connection in the total of all clients.
+    pub(super) counted_bytes: usize,
     /// Whether the client has closed its side. Such a client counts as disconnected even if it could still read a response.
     pub(super) has_disconnected: bool,
     /// Whether input may be left in `input` or in the socket because the last turn of the connection ended early.
@@ -120,6 +126,8 @@
             reader,
             input: Vec::new(),
             output: Output::default(),
+            request_bytes: 0,
+            counted_bytes: 0,
             has_disconnected: false,
             may_have_input: false,
             waits_since: f64::MAX,
@@ -170,9 +178,25 @@
         self.state == ClientState::Lingering && now >= self.state_since + linger_s
     }
 
-    /// Returns the number of buffered bytes of an incomplete request.
-    pub(super) fn buffered_bytes(&self) -> usize {
-        self.input.len() + self.reader.buffered_bytes()
+    /// Returns the memory that the client's input, its request in flight and its response take.
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.input.capacity()
+            + self.reader.memory_bytes()
+            + self.request_bytes
+            + self.output.memory_bytes()
+    }
+
+    /// Releases the memory of input that has been parsed, beyond what a small request needs.
+    pub(super) fn release_input(&mut self) {
+        if self.input.capacity() > MAX_KEPT_INPUT_BYTES {
+            self.input.shrink_to(MAX_KEPT_INPUT_BYTES);
+        }
+    }
+
+    /// Releases all input, which is not parsed any more.
+    pub(super) fn discard_input(&mut self) {
+        self.input = Vec::new();
+        self.reader.discard();
     }
 
     /// Returns the time at which the current state times out. The value is `f64::MAX` while a request is being handled,
--- a/src/net/client/connections.rs
+++ b/src/net/client/connections.rs
@@ -118,7 +118,9 @@
     pub(in crate::net) pages: PageCache,
     /// Number of clients above which each response closes its connection.
     close_after_response_above: usize,
-    /// Limit on the bytes of incomplete requests over all clients.
+    /// Memory that the input, the requests in flight and the responses of all clients take (bytes).
+    memory_bytes: usize,
+    /// Limit on `memory_bytes` above which no large request is read.
     pub(super) max_buffered_bytes: usize,
     /// Tenant of search API requests without `X-Tenant-Id`.
     pub(super) search_tenant: Option<String>,
@@ -140,6 +142,7 @@
             pages: PageCache::default(),
             close_after_response_above: (CLOSE_AFTER_RESPONSE_SHARE * max_descriptors as f64
                 / DESCRIPTOR_DIVISOR) as usize,
+            memory_bytes: 0,
             max_buffered_bytes: memory_bytes / MEMORY_DIVISOR,
             search_tenant,
             last_search_number: 0,
@@ -186,6 +189,52 @@
         self.count > self.close_after_response_above
     }
 
+    /// Updates a client's share of the memory of all clients, after its buffers have changed.
+    pub(super) fn count_memory(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
+        let Some(client) = client_mut(&mut runtime.connections, key) else {
+            return;
+        };
+        let bytes = client.memory_bytes();
+        self.memory_bytes = self.memory_bytes - client.counted_bytes + bytes;
+        client.counted_bytes = bytes;
+    }
+
+    /// Returns whether the memory of all clients exceeds its limit. `own_bytes` are those of the client that is to be served: the
+    /// only client with anything buffered is always served, since the size of a message has its own limit.
+    pub(super) fn is_memory_exhausted(
+        &self,
+        own_bytes: usize,
+        conditions: ServingConditions,
+    ) -> bool {
+        let max_bytes = if conditions.shares_memory {
+            self.max_buffered_bytes / 2
+        } else {
+            self.max_buffered_bytes
+        };
+        self.memory_bytes > max_bytes && self.memory_bytes > own_bytes
+    }
+
+    /// Closes the connections of clients that do not read their responses, the oldest first, until the memory of all clients is
+    /// within twice its limit.
+    pub(super) fn close_unread_responses(&mut self, runtime: &mut Runtime) {
+        while self.memory_bytes > 2 * self.max_buffered_bytes {
+            let writing =
+                runtime
+                    .connections
+                    .iter()
+                    .filter_map(|(key, connection)| match connection {
+                        Connection::Client(client) if client.state == ClientState::Writing => {
+                            Some((client.state_since, key))
+                        }
+                        _ => None,
+                    });
+            let Some((_, oldest)) = writing.min_by(|a, b| a.0.total_cmp(&b.0)) else {
+                return;
+            };
+            self.close(runtime, oldest, CloseReason::ResponseNotRead);
+        }
+    }
+
     /// Records that a client connection was removed from the connection table.
     pub(in crate::net) fn connection_removed(&mut self) {
         self.count -= 1;
@@ -404,7 +453,12 @@
                 reason.label()
             ));
         }
-        runtime.connections.remove(key);
+        if let Some(Connection::Client(client)) = runtime.connections.remove(key) {
+            self.memory_bytes -= client.counted_bytes;
+            runtime
+                .timers
+                .remove(client.timer_at, Deadline::Connection(key));
+        }
         self.connection_removed();
     }
 }
--- a/src/net/client/reading.rs
+++ b/src/net/client/reading.rs
@@ -10,7 +10,6 @@
 };
 use crate::net::client::opensearch::{self, SearchContext, SearchRequest};
 use crate::net::client::platform::{self, PlatformError, PlatformRequest};
-use crate::net::connection_table::Connection;
 use crate::net::http::Message;
 use crate::net::runtime::Runtime;
 use crate::net::ConnectionKey;
@@ -41,7 +40,7 @@
             ClientState::Lingering => self.discard_input(runtime, key),
             // The connection gets its turn in the order of the backlog.
             ClientState::Reading
-                if runtime.backlog.contains(Work::Connection(key)) && client.may_have_input => {}
+                if runtime.backlog.contains(Work::Connection(key)) && !client.input.is_empty() => {}
             ClientState::Reading => return self.read(runtime, key, conditions),
         }
         None
@@ -138,13 +137,16 @@
             }
         };
         let begins_request = client.is_idle();
+        // Without spare capacity, the memory that is counted is that of the bytes received.
+        client.input.reserve_exact(count);
         client.input.extend_from_slice(&buffer[..count]);
-        let is_large = client.buffered_bytes() > SMALL_BUFFER_BYTES;
+        let own_bytes = client.memory_bytes();
         if begins_request {
             client.state_since = runtime.now;
             self.schedule_deadline(runtime, key);
         }
-        if is_large && !self.fits_memory_limit(runtime, key, conditions) {
+        self.count_memory(runtime, key);
+        if own_bytes > SMALL_BUFFER_BYTES && self.is_memory_exhausted(own_bytes, conditions) {
             self.respond_with_error(runtime, key, ConnectionError::TooManyLargeRequests);
             return ControlFlow::Break(());
         }
@@ -167,28 +169,6 @@
         }
     }
 
-    /// Returns whether the incomplete requests of all clients fit the memory limit for them. A request that is the only
-    /// incomplete one always fits; its size has its own limit in the message reader.
-    fn fits_memory_limit(
-        &self,
-        runtime: &Runtime,
-        key: ConnectionKey,
-        conditions: ServingConditions,
-    ) -> bool {
-        let buffered_bytes = |connection: &Connection| match connection {
-            Connection::Client(client) => client.buffered_bytes(),
-            _ => 0,
-        };
-        let all: usize = runtime.connections.values().map(buffered_bytes).sum();
-        let own = runtime.connections.get(key).map_or(0, buffered_bytes);
-        let max_bytes = if conditions.shares_memory {
-            self.max_buffered_bytes / 2
-        } else {
-            self.max_buffered_bytes
-        };
-        all <= max_bytes || all == own
-    }
-
     /// Parses a complete message according to the protocol of its connection. Responds to messages that do not concern other
     /// subsystems, and returns an event for all others.
     fn handle_message(
@@ -204,6 +184,7 @@
         client.omits_body = message.is_head_request();
         client.sent_continue = false;
         client.closes_when_idle = false;
+        client.release_input();
         client.first_request_by = f64::MAX;
         match client.protocol {
             Protocol::Platform => self.handle_platform_message(runtime, key, message),
@@ -312,6 +293,7 @@
         query_request: QueryRequest,
         search_context: Option<SearchContext>,
     ) {
+        let request_bytes = query_request.payload.len();
         let request = runtime.coordinator.accept_request(
             runtime.now,
             query_request,
@@ -321,7 +303,9 @@
         if let Some(client) = client_mut(&mut runtime.connections, key) {
             client.enter(ClientState::InFlight(request), runtime.now);
             client.search_context = search_context;
+            client.request_bytes = request_bytes;
         }
+        self.count_memory(runtime, key);
     }
 
     /// Checks whether a client whose request is in flight has closed its side. If so, the request ends immediately, so that
--- a/src/net/client/writing.rs
+++ b/src/net/client/writing.rs
@@ -40,9 +40,12 @@
             client.output.remove_body();
         }
         client.enter(ClientState::Writing, runtime.now);
+        client.request_bytes = 0;
         client.closes_after_response |= closes;
+        self.count_memory(runtime, key);
         self.write(runtime, key);
         self.schedule_deadline(runtime, key);
+        self.close_unread_responses(runtime);
     }
 
     /// Responds with an error in the client's protocol and ends the connection.
@@ -101,6 +104,10 @@
         }
         client.output = Output::default();
         client.enter(ClientState::Reading, runtime.now);
+        self.count_memory(runtime, key);
+        let Some(client) = client_mut(&mut runtime.connections, key) else {
+            return;
+        };
         if client.closes_after_response || (client.has_disconnected && client.input.is_empty()) {
             return self.linger(runtime, key);
         }
@@ -118,7 +125,8 @@
         // The shutdown fails only if the connection has already ended, which the read below detects.
         let _ = client.stream.shutdown(std::net::Shutdown::Write);
         client.enter(ClientState::Lingering, runtime.now);
-        client.input.clear();
+        client.discard_input();
+        self.count_memory(runtime, key);
         self.schedule_deadline(runtime, key);
         self.discard_input(runtime, key);
     }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -15,6 +15,8 @@
 /// Limit on the bytes of a chunked body beside its content, for each byte of content that is allowed: a size line and a terminator for
 /// each byte, with room for extensions.
 const MAX_CHUNK_OVERHEAD_FACTOR: usize = 8;
+/// Smallest block of memory that an allocator hands out, with its own data (bytes).
+const HEAP_BLOCK_BYTES: usize = 32;
 /// Line terminator after the data of a chunk.
 const CRLF: &[u8] = b"\r\n";
 
@@ -226,6 +228,20 @@
         status.parse().ok()
     }
 
+    /// Returns the memory that the incomplete message takes, without the bytes that are still in the buffer.
+    pub fn memory_bytes(&self) -> usize {
+        self.partial.as_ref().map_or(0, |partial| {
+            let message = &partial.message;
+            let header_bytes: usize = message.headers.iter().map(header_memory_bytes).sum();
+            header_bytes + message.body.capacity()
+        })
+    }
+
+    /// Discards the incomplete message. The reader must not be used further.
+    pub fn discard(&mut self) {
+        self.partial = None;
+    }
+
     /// Returns the number of bytes of the incomplete body that the reader has taken from the buffer.
     pub fn buffered_bytes(&self) -> usize {
         self.partial
@@ -434,6 +450,12 @@
         .map(|(_, value)| value.trim())
 }
 
+/// Returns the memory that a header takes: the pair in its list, and two texts on the heap.
+fn header_memory_bytes((name, value): &(String, String)) -> usize {
+    let heap_bytes = |text: &String| text.capacity().next_multiple_of(HEAP_BLOCK_BYTES);
+    std::mem::size_of::<(String, String)>() + heap_bytes(name) + heap_bytes(value)
+}
+
 fn body_too_large(bytes: usize, limit: usize) -> HttpError {
     HttpError::BodyTooLarge { bytes, limit }
 }
