New connections are accepted quickly and get their first turn first

Beside hundreds of clients that were served in turns, a new client waited for its accept and then for its first turn behind all others (up to 0.1 s), or its SYN was dropped at a full accept queue of 128, and its system tried again after 1 s. Change: the accept queue holds 1024; an iteration accepts for up to 2 ms without serving; first turns come before further ones, 4 ms and 2 ms of an iteration; events beyond 4 ms wait as first turns.

--- a/src/net/backlog.rs
+++ b/src/net/backlog.rs
@@ -3,12 +3,11 @@
 
 use crate::net::handover::Side;
 use crate::net::ConnectionKey;
-use crate::requests::query_request::Protocol;
 use std::collections::{BTreeSet, VecDeque};
 
 /// Maximum number of reads from a socket in one turn.
 pub(in crate::net) const MAX_READS_PER_TURN: usize = 8;
-/// Maximum number of connections that are accepted from a listener in one turn.
+/// Maximum number of connections that are accepted in one turn from a listener for other processes than clients.
 pub(in crate::net) const MAX_ACCEPTS_PER_TURN: usize = 32;
 
 /// A source of input that may have more of it than one turn handles.
@@ -16,8 +15,6 @@
 pub(in crate::net) enum Work {
     /// A connection of any kind.
     Connection(ConnectionKey),
-    /// The listener of a client protocol.
-    Accept(Protocol),
     /// The listener for peers of the store.
     AcceptPeers,
     /// The queue of store operations.
@@ -33,7 +30,10 @@
 /// Pending work in the order in which it was queued. Each source is queued at most once.
 #[derive(Debug, Default)]
 pub(in crate::net) struct Backlog {
-    queue: VecDeque<Work>,
+    /// Sources that have not had a turn yet. They come first, because a peer that sends fast is rarely among them.
+    first_turns: VecDeque<Work>,
+    /// Sources whose last turn may have left input.
+    further_turns: VecDeque<Work>,
     queued: BTreeSet<Work>,
 }
 
@@ -41,13 +41,27 @@
     /// Queues a source behind all others, unless the source is queued already.
     pub(in crate::net) fn push(&mut self, work: Work) {
         if self.queued.insert(work) {
-            self.queue.push_back(work);
+            self.further_turns.push_back(work);
         }
     }
 
-    /// Removes and returns the source that has waited for the longest time.
+    /// Queues a source for its first turn, before those that have had a turn, unless the source is queued already.
+    pub(in crate::net) fn push_first(&mut self, work: Work) {
+        if self.queued.insert(work) {
+            self.first_turns.push_back(work);
+        }
+    }
+
+    /// Removes and returns the source that has waited for its first turn for the longest time.
+    pub(in crate::net) fn pop_first(&mut self) -> Option<Work> {
+        let work = self.first_turns.pop_front()?;
+        self.queued.remove(&work);
+        Some(work)
+    }
+
+    /// Removes and returns the source that has waited for a further turn for the longest time.
     pub(in crate::net) fn pop(&mut self) -> Option<Work> {
-        let work = self.queue.pop_front()?;
+        let work = self.further_turns.pop_front()?;
         self.queued.remove(&work);
         Some(work)
     }
@@ -59,12 +73,12 @@
 
     /// Returns whether no work is pending.
     pub(in crate::net) fn is_empty(&self) -> bool {
-        self.queue.is_empty()
+        self.queued.is_empty()
     }
 
     /// Returns the number of sources that wait for a turn.
     pub(in crate::net) fn len(&self) -> usize {
-        self.queue.len()
+        self.queued.len()
     }
 }
 
--- a/src/net/client/routing.rs
+++ b/src/net/client/routing.rs
@@ -5,7 +5,7 @@
 //! [`ClientConnections`]: crate::net::client::connections::ClientConnections
 
 use crate::net::admin::metrics_page;
-use crate::net::backlog::{Work, MAX_ACCEPTS_PER_TURN};
+use crate::net::backlog::Work;
 use crate::net::client::connections::{ClientEvent, ServingConditions};
 use crate::net::client::eviction::{find_candidate, EvictionRank};
 use crate::net::client::opensearch::SearchContext;
@@ -22,8 +22,10 @@
 use mio::net::TcpStream;
 use std::io;
 
-/// Upper bound on the length of a listener's accept queue.
-const MAX_ACCEPT_QUEUE: usize = 4096;
+/// Time that an iteration spends on the accept queue of a listener (seconds).
+const MAX_ACCEPT_S: f64 = 0.002;
+/// Time spent on the accept queue of a listener that is about to be closed (seconds); a full queue takes some milliseconds.
+const MAX_ACCEPT_ALL_S: f64 = 0.2;
 
 impl Mixer {
     /// Returns the current state of the other subsystems that affects how clients are served.
@@ -35,22 +37,24 @@
         }
     }
 
-    /// Accepts pending client connections of a listener, if the listener is open. More than one turn allows wait in the
-    /// backlog.
+    /// Accepts pending client connections of a listener, if the listener is open. Those beyond the number of a turn wait for the
+    /// next iteration.
     pub(in crate::net) fn accept(&mut self, protocol: Protocol) {
-        if self.accept_up_to(MAX_ACCEPTS_PER_TURN, protocol) {
-            self.runtime.backlog.push(Work::Accept(protocol));
+        let end_at = self.runtime.clock.now() + MAX_ACCEPT_S;
+        if self.accept_until(end_at, protocol) {
+            self.listeners.set_pending(protocol);
         }
     }
 
     /// Accepts all connections in the accept queue of a listener, which is about to be closed.
     pub(in crate::net) fn accept_all(&mut self, protocol: Protocol) {
-        self.accept_up_to(MAX_ACCEPT_QUEUE, protocol);
+        let end_at = self.runtime.clock.now() + MAX_ACCEPT_ALL_S;
+        self.accept_until(end_at, protocol);
     }
 
-    /// Accepts up to `max_count` client connections of a listener. Returns whether more may be pending.
-    fn accept_up_to(&mut self, max_count: usize, protocol: Protocol) -> bool {
-        for _ in 0..max_count {
+    /// Accepts client connections of a listener until the given time, at least one. Returns whether more may be pending.
+    fn accept_until(&mut self, end_at: f64, protocol: Protocol) -> bool {
+        loop {
             let Some(listener) = self.listeners.get(protocol) else {
                 return false;
             };
@@ -71,8 +75,10 @@
                     }
                 },
             }
+            if self.runtime.clock.now() > end_at {
+                return true;
+            }
         }
-        true
     }
 
     /// Serves an accepted client, or rejects it if the client limit is reached and no other connection can be evicted.
@@ -92,8 +98,10 @@
         let key = self
             .clients
             .insert(&mut self.runtime, stream, protocol, conditions);
-        self.read_client(key);
         self.clients.schedule_deadline(&mut self.runtime, key);
+        // The first request is read in a turn of its own, so that requests do not delay the accept queue.
+        self.runtime.backlog.push_first(Work::Connection(key));
+        self.clients.queue_turn(&mut self.runtime, key);
     }
 
     /// Evicts an idle or answered client if a system call has failed because the process is out of descriptors.
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -3,7 +3,7 @@
 
 use crate::config::Options;
 use crate::endpoints::directory::ConnectionKey;
-use crate::net::backlog::Work;
+use crate::net::backlog::{Backlog, Work};
 use crate::net::client::connections::ClientConnections;
 use crate::net::connection_table::Connection;
 use crate::net::discovery::lease;
@@ -29,10 +29,11 @@
 /// Maximum number of events returned by one poll; further events are returned by the next poll.
 const MAX_EVENTS_PER_POLL: usize = 256;
 /// Time after which an iteration hands the remaining events to the backlog (seconds).
-const MAX_EVENTS_S: f64 = 0.01;
-/// Time that an iteration spends on the backlog, plus the last turn (seconds). The sockets are polled again after it, so that
-/// answers of leaf servers, disconnects and deadlines do not wait for long.
-const MAX_BACKLOG_S: f64 = 0.002;
+const MAX_EVENTS_S: f64 = 0.004;
+/// Time that an iteration spends on first turns of connections, and on further ones, plus the last turn (seconds). The sockets are
+/// polled again after it, so that answers of leaf servers, disconnects and deadlines do not wait for long.
+const MAX_FIRST_TURNS_S: f64 = 0.004;
+const MAX_FURTHER_TURNS_S: f64 = 0.002;
 /// Delay before connections are accepted again after an accept failed for lack of descriptors or memory (seconds).
 pub(super) const ACCEPT_RETRY_S: f64 = 0.02;
 /// Fraction of a replica's idle timeout after which the mixer closes an idle connection.
@@ -133,7 +134,9 @@
     ) -> Result<Option<f64>, NetError> {
         let runtime = &mut self.runtime;
         let polled_at = runtime.clock.now();
-        let has_pending_work = self.replicas.has_postponed_writes() || !runtime.backlog.is_empty();
+        let has_pending_work = self.replicas.has_postponed_writes()
+            || !runtime.backlog.is_empty()
+            || self.listeners.has_pending();
         let timeout = if has_pending_work {
             Some(Duration::ZERO)
         } else {
@@ -231,20 +234,33 @@
         let key = connection_key(event.token());
         let is_connection = token(key) == event.token();
         if is_connection && self.runtime.clock.now() > woke_at + MAX_EVENTS_S {
-            self.runtime.backlog.push(Work::Connection(key));
+            self.runtime.backlog.push_first(Work::Connection(key));
         } else {
             self.handle_event(event);
         }
     }
 
-    /// Gives turns to the sources of the backlog in their order, at least one.
+    /// Accepts clients that did not fit into the turn of their listener in the last iteration, and gives turns to the sources of
+    /// the backlog: first turns before further ones, and at least one of each kind.
     fn reduce_backlog(&mut self) {
-        let started_at = self.runtime.clock.now();
-        while let Some(work) = self.runtime.backlog.pop() {
+        for protocol in self.listeners.take_pending() {
+            self.accept(protocol);
+            self.process_commands();
+        }
+        self.run_turns(MAX_FIRST_TURNS_S, Backlog::pop_first);
+        self.run_turns(MAX_FURTHER_TURNS_S, Backlog::pop);
+        if !self.runtime.backlog.is_empty() {
+            self.runtime.loop_metrics.count_full_backlog();
+        }
+    }
+
+    /// Gives turns to the sources that `next` returns, until `max_s` have passed.
+    fn run_turns(&mut self, max_s: f64, next: impl Fn(&mut Backlog) -> Option<Work>) {
+        let end_at = self.runtime.clock.now() + max_s;
+        while let Some(work) = next(&mut self.runtime.backlog) {
             self.run_turn(work);
             self.process_commands();
-            if self.runtime.clock.now() > started_at + MAX_BACKLOG_S {
-                self.runtime.loop_metrics.count_full_backlog();
+            if self.runtime.clock.now() > end_at {
                 return;
             }
         }
@@ -254,7 +270,6 @@
     fn run_turn(&mut self, work: Work) {
         match work {
             Work::Connection(key) => self.handle_connection_event(key, false, false),
-            Work::Accept(protocol) => self.accept(protocol),
             Work::AcceptPeers => self.accept_store_peers(),
             Work::StoreOperations => self.next_store_operation(),
             Work::Vrrp => self.handle_vrrp_socket_event(),
--- a/src/net/listeners.rs
+++ b/src/net/listeners.rs
@@ -1,6 +1,7 @@
 //! The listening sockets of both protocols. The caller decides when sockets are opened and closed, and accepts from them.
 
 use crate::net::runtime::Runtime;
+use crate::net::socket::bind_listener;
 use crate::net::timer_queue::Deadline;
 use crate::net::tokens::{LISTENERS, PROTOCOLS};
 use crate::requests::query_request::Protocol;
@@ -15,6 +16,8 @@
 /// The listening sockets, by protocol.
 pub(super) struct Listeners {
     open: [Option<TcpListener>; 2],
+    /// Protocols whose accept queue may hold more connections than one turn has accepted.
+    pending: Vec<Protocol>,
     /// Address of each listener; `None` for a protocol that is off and for an inherited listener.
     addresses: [Option<SocketAddr>; 2],
 }
@@ -25,7 +28,11 @@
         open: [Option<TcpListener>; 2],
         addresses: [Option<SocketAddr>; 2],
     ) -> Listeners {
-        Listeners { open, addresses }
+        Listeners {
+            open,
+            pending: Vec::new(),
+            addresses,
+        }
     }
 
     /// Returns the socket of a protocol if it is open.
@@ -33,6 +40,23 @@
         self.open[protocol as usize].as_ref()
     }
 
+    /// Records that the accept queue of a protocol may hold more connections.
+    pub(super) fn set_pending(&mut self, protocol: Protocol) {
+        if !self.pending.contains(&protocol) {
+            self.pending.push(protocol);
+        }
+    }
+
+    /// Returns whether an accept queue may hold more connections.
+    pub(super) fn has_pending(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Takes the protocols whose accept queue may hold more connections.
+    pub(super) fn take_pending(&mut self) -> Vec<Protocol> {
+        std::mem::take(&mut self.pending)
+    }
+
     /// Logs the address of each open socket.
     pub(super) fn log(&self, runtime: &mut Runtime) {
         for (protocol, suffix) in PROTOCOLS.into_iter().zip(["", ", search API"]) {
@@ -95,7 +119,7 @@
 }
 
 fn listen(runtime: &Runtime, protocol: Protocol, address: SocketAddr) -> io::Result<TcpListener> {
-    let mut listener = TcpListener::bind(address)?;
+    let mut listener = bind_listener(address)?;
     let token = LISTENERS[protocol as usize];
     let registry = runtime.poll.registry();
     registry.register(&mut listener, token, Interest::READABLE)?;
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -4,6 +4,7 @@
 use crate::net::error::NetError;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
+use socket2::{Domain, Socket, Type};
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,6 +13,8 @@
 const START_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of retries, for about 2 s in all.
 const MAX_START_RETRIES: u32 = 100;
+/// Length of a listener's accept queue.
+const ACCEPT_QUEUE_LENGTH: i32 = 1024;
 /// Error number: the system's limit on open descriptors is reached (Linux).
 const ENFILE: i32 = 23;
 /// Error number: the process's limit on open descriptors is reached (Linux).
@@ -51,12 +54,27 @@
     address: SocketAddr,
     token: Token,
 ) -> Result<TcpListener, NetError> {
-    let mut listener = open_with_retries(|| TcpListener::bind(address))
+    let mut listener = open_with_retries(|| bind_listener(address))
         .map_err(|error| NetError::Listen { address, error })?;
     registry.register(&mut listener, token, Interest::READABLE)?;
     Ok(listener)
 }
 
+/// Opens a listener with an accept queue that holds a burst of new connections. A connection that does not fit is retried by its
+/// client's system only after a second.
+pub(super) fn bind_listener(address: SocketAddr) -> io::Result<TcpListener> {
+    let kind = Type::STREAM.nonblocking().cloexec();
+    let socket = Socket::new(
+        Domain::for_address(address),
+        kind,
+        Some(socket2::Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(ACCEPT_QUEUE_LENGTH)?;
+    Ok(TcpListener::from_std(socket.into()))
+}
+
 /// Returns whether a connection attempt has completed. Fails if the attempt has failed.
 pub(super) fn is_connected(stream: &TcpStream) -> io::Result<bool> {
     if let Some(error) = stream.take_error()? {
