--- a/crates/wharfhub-testbed/tests/flood.rs
+++ b/crates/wharfhub-testbed/tests/flood.rs
@@ -82,3 +82,9 @@
 ) {
     assert_bounded(kind);
 }
+
+/// A log reader that had stopped held up the whole event loop once the pipe was full (issue 64).
+#[test]
+fn other_clients_are_answered_in_time_beside_a_log_that_is_not_read() {
+    assert_bounded(FloodKind::UnreadLog);
+}
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -1,7 +1,9 @@
 //! Log lines on standard error, limited to a number of lines per second. Lines about single requests, and lines about what a peer
 //! has sent, have limits of their own, so that they cannot displace lines about the whole mixer.
 
-use std::io::{self, Write};
+mod writer;
+
+use writer::LogWriter;
 
 /// Maximum number of lines per second about the mixer as a whole.
 const MAX_MIXER_LINES_PER_S: u32 = 50;
@@ -50,6 +52,7 @@
     mixer: LineLimit,
     requests: LineLimit,
     peers: LineLimit,
+    writer: LogWriter,
 }
 
 impl Log {
@@ -59,30 +62,38 @@
             mixer: LineLimit::new(MAX_MIXER_LINES_PER_S, now),
             requests: LineLimit::new(MAX_REQUEST_LINES_PER_S, now),
             peers: LineLimit::new(MAX_PEER_LINES_PER_S, now),
+            writer: LogWriter::open(),
         }
     }
 
     /// Writes a line about the mixer as a whole, unless the limit on such lines is exceeded. `age_s` is the time since the
     /// start of the process.
     pub(super) fn write(&mut self, now: f64, age_s: f64, line: &str) {
-        write_limited(&mut self.mixer, now, age_s, || line.to_string());
+        let line = || line.to_string();
+        write_limited(&mut self.writer, &mut self.mixer, now, age_s, line);
     }
 
     /// Writes a line about one request, unless the limit on such lines is exceeded; `line` is evaluated only if the line is
     /// written.
     pub(super) fn write_request(&mut self, now: f64, age_s: f64, line: impl FnOnce() -> String) {
-        write_limited(&mut self.requests, now, age_s, line);
+        write_limited(&mut self.writer, &mut self.requests, now, age_s, line);
     }
 
     /// Writes a line about a peer's input, unless the limit on such lines is exceeded; `line` is evaluated only if the line is
     /// written.
     pub(super) fn write_peer(&mut self, now: f64, age_s: f64, line: impl FnOnce() -> String) {
-        write_limited(&mut self.peers, now, age_s, line);
+        write_limited(&mut self.writer, &mut self.peers, now, age_s, line);
     }
 }
 
 /// Writes a line with the number of lines suppressed before, unless the limit is exceeded.
-fn write_limited(limit: &mut LineLimit, now: f64, age_s: f64, line: impl FnOnce() -> String) {
+fn write_limited(
+    writer: &mut LogWriter,
+    limit: &mut LineLimit,
+    now: f64,
+    age_s: f64,
+    line: impl FnOnce() -> String,
+) {
     let Some(suppressed) = limit.count_line(now) else {
         return;
     };
@@ -90,10 +101,5 @@
     if suppressed > 0 {
         line += &format!(" ({suppressed} such lines were left out before)");
     }
-    write_line(age_s, &line);
-}
-
-fn write_line(age_s: f64, line: &str) {
-    // The mixer keeps serving if standard error is closed.
-    let _ = writeln!(io::stderr(), "wharfhub {age_s:.3} {line}");
+    writer.write_line(&format!("wharfhub {age_s:.3} {line}\n"));
 }
