Soak: clients at full speed are one of the faults

One or two floods of a mixer in each soak, drawn from random numbers of their own, so that the other faults of a seed stay as they were; the checker looks at the answers of all other clients.

--- a/crates/wharfhub-testbed/src/flood/sender.rs
+++ b/crates/wharfhub-testbed/src/flood/sender.rs
@@ -35,6 +35,8 @@
 /// State that all senders of a flood share.
 #[derive(Default)]
 struct Shared {
+    /// Beginning of each name.
+    name_prefix: String,
     is_stopped: AtomicBool,
     sent: AtomicU64,
     next_name: AtomicU64,
@@ -51,7 +53,8 @@
 
     /// Returns a name that no request of this flood has had.
     fn new_name(&self) -> String {
-        format!("n{:x}", self.next_name.fetch_add(1, Ordering::Relaxed))
+        let number = self.next_name.fetch_add(1, Ordering::Relaxed);
+        format!("{}{number:x}", self.name_prefix)
     }
 }
 
@@ -64,7 +67,6 @@
 impl Senders {
     /// Starts the senders of a kind.
     pub fn start(kind: FloodKind, addresses: &Addresses) -> Senders {
-        let shared = Arc::new(Shared::default());
         let count = match kind {
             FloodKind::LeafAnswers | FloodKind::DiscoveryTrailer => 0,
             FloodKind::VrrpAdvertisements | FloodKind::VrrpGarbage => 1,
@@ -74,6 +76,37 @@
             | FloodKind::StorePeerConnections => 1,
             _ => SENDERS,
         };
+        Senders::start_named(kind, addresses, "n", count)
+    }
+
+    /// Starts clients that flood the mixer at this address with a kind of request. All names begin with `name_prefix`.
+    pub fn start_clients(
+        kind: FloodKind,
+        address: SocketAddr,
+        name_prefix: &str,
+        count: usize,
+    ) -> Senders {
+        let addresses = Addresses {
+            clients: address,
+            search: address,
+            admin: address,
+            store: address,
+            vrrp: address,
+            vrrp_peer: address,
+        };
+        Senders::start_named(kind, &addresses, name_prefix, count)
+    }
+
+    fn start_named(
+        kind: FloodKind,
+        addresses: &Addresses,
+        name_prefix: &str,
+        count: usize,
+    ) -> Senders {
+        let shared = Arc::new(Shared {
+            name_prefix: name_prefix.to_string(),
+            ..Shared::default()
+        });
         let threads = (0..count)
             .map(|_| {
                 let (shared, addresses) = (shared.clone(), *addresses);
--- a/crates/wharfhub-testbed/src/soak/plan.rs
+++ b/crates/wharfhub-testbed/src/soak/plan.rs
@@ -6,6 +6,7 @@
 
 use super::processes::Signal;
 use super::registry::Outage;
+use crate::flood::FloodKind;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -38,6 +39,15 @@
 const FAULT_PERIODS_S: (f64, f64) = (14.0, 6.0);
 /// Average number of faults that start in a second.
 const FAULTS_PER_S: f64 = 3.0;
+/// Largest number of floods of a soak, the requests that clients send in them, and their stream of random numbers.
+const MAX_FLOODS: usize = 2;
+const FLOOD_KINDS: [FloodKind; 4] = [
+    FloodKind::ReadyPage,
+    FloodKind::MetricsPage,
+    FloodKind::NewNames,
+    FloodKind::UnknownClasses,
+];
+const FLOOD_STREAM: u64 = 1;
 /// Fleet sizes that the settings may name instead of the actual one.
 const CONFIGURED_FLEET_SIZES: [usize; 2] = [300, 860];
 
@@ -223,6 +233,15 @@
         /// Duration (seconds).
         for_s: f64,
     },
+    /// Other clients send requests to a mixer at full speed. Their own answers are not checked.
+    Flood {
+        /// Number of the mixer.
+        mixer: usize,
+        /// Requests that the clients send.
+        kind: FloodKind,
+        /// Duration (seconds).
+        for_s: f64,
+    },
 }
 
 /// A fault with the time at which it starts.
@@ -289,6 +308,7 @@
                 fault: draw_fault(&mut rng, mixers, servers),
             })
             .collect();
+        faults.extend(draw_floods(seed, mixers, fault_period_s));
         faults.sort_by(|a, b| a.at.total_cmp(&b.at));
         let fleet_sizes = [mixers, CONFIGURED_FLEET_SIZES[0], CONFIGURED_FLEET_SIZES[1]];
         Plan {
@@ -329,6 +349,23 @@
     }
 }
 
+/// Draws the floods of a soak. They have random numbers of their own, so that the other faults of a seed stay the same.
+fn draw_floods(seed: u64, mixers: usize, fault_period_s: f64) -> Vec<PlannedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(FLOOD_STREAM);
+    let count = rng.random_range(1..=MAX_FLOODS);
+    (0..count)
+        .map(|_| PlannedFault {
+            at: FAULT_FREE_START_S + rng.random_range(0.0..fault_period_s),
+            fault: InjectedFault::Flood {
+                mixer: rng.random_range(0..mixers),
+                kind: *FLOOD_KINDS.choose(&mut rng).unwrap_or(&FLOOD_KINDS[0]),
+                for_s: rng.random_range(1.0..5.0),
+            },
+        })
+        .collect()
+}
+
 fn draw_subset(rng: &mut ChaCha8Rng, count: usize, share: f64) -> Vec<usize> {
     (0..count).filter(|_| rng.random_bool(share)).collect()
 }
--- a/crates/wharfhub-testbed/src/soak/run.rs
+++ b/crates/wharfhub-testbed/src/soak/run.rs
@@ -9,6 +9,8 @@
 use super::processes::{MixerProcess, Signal};
 use super::registry::{ListedServer, Outage, Registry, ADDRESSES_PER_MIXER};
 use super::servers::{Behavior, LeafServer};
+use crate::flood::sender::Senders;
+use crate::flood::FloodKind;
 use std::io;
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -17,6 +19,8 @@
 
 /// Number of clients of each mixer.
 const CLIENTS_PER_MIXER: usize = 2;
+/// Number of clients that flood a mixer.
+const FLOOD_CLIENTS: usize = 3;
 /// Interval at which the mixers are checked for exits and readiness.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time from the start of a drain with cut-off answers to the removal of the server (seconds).
@@ -212,6 +216,7 @@
         | InjectedFault::ServerHangs { for_s, .. }
         | InjectedFault::ServerResets { for_s, .. }
         | InjectedFault::ServerFull { for_s, .. }
+        | InjectedFault::Flood { for_s, .. }
         | InjectedFault::ClientsLeave { for_s } => *for_s,
         InjectedFault::Drain { back_s, .. } | InjectedFault::Die { back_s, .. } => *back_s,
         InjectedFault::DrainCut { outage_s, .. } => outage_s + CUT_DRAIN_BACK_S,
@@ -383,6 +388,7 @@
                 });
             }
             InjectedFault::ClientsLeave { for_s } => self.close_clients_early(*for_s),
+            InjectedFault::Flood { mixer, kind, for_s } => self.flood(*mixer, *kind, *for_s),
         }
     }
 
@@ -557,6 +563,15 @@
         self.servers[server].update_behavior(|behavior| set(behavior, false));
     }
 
+    /// Floods a mixer. The process may be replaced meanwhile; the clients then connect to the new one.
+    fn flood(&self, number: usize, kind: FloodKind, for_s: f64) {
+        let address = self.mixers[number].process.address();
+        let prefix = format!("m{number}-flood-");
+        let senders = Senders::start_clients(kind, address, &prefix, FLOOD_CLIENTS);
+        self.sleep(for_s);
+        senders.stop();
+    }
+
     fn close_clients_early(&self, for_s: f64) {
         self.early_close_faults.fetch_add(1, Ordering::Relaxed);
         self.client_pool
