--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -132,11 +132,10 @@
         events: &mut PollEvents,
         stall_detector: &mut StallDetector,
     ) -> Result<Option<f64>, NetError> {
+        let has_backlog = self.has_backlog();
         let runtime = &mut self.runtime;
         let polled_at = runtime.clock.now();
-        let has_pending_work = self.replicas.has_postponed_writes()
-            || !runtime.backlog.is_empty()
-            || self.listeners.has_pending();
+        let has_pending_work = self.replicas.has_postponed_writes() || has_backlog;
         let timeout = if has_pending_work {
             Some(Duration::ZERO)
         } else {
@@ -164,6 +163,7 @@
         stall_detector: &mut StallDetector,
     ) {
         self.begin_iteration(woke_at, stall_detector);
+        let had_backlog = self.has_backlog();
         // The admin interface is served first, so that client traffic cannot delay its replies.
         self.handle_admin_events(events);
         self.handle_client_disconnects(events);
@@ -183,7 +183,10 @@
             }
             self.process_commands();
         }
-        self.reduce_backlog();
+        // Work of this iteration waits for the next poll, so that discovery and disconnects are read before its input.
+        if had_backlog {
+            self.reduce_backlog();
+        }
         self.advance_to_deadlines(woke_at, stall_detector);
         while let Some(deadline) = self.runtime.timers.next(self.runtime.now) {
             self.handle_deadline(deadline);
@@ -240,6 +243,10 @@
         }
     }
 
+    fn has_backlog(&self) -> bool {
+        !self.runtime.backlog.is_empty() || self.listeners.has_pending()
+    }
+
     /// Accepts clients that did not fit into the turn of their listener in the last iteration, and gives turns to the sources of
     /// the backlog: first turns before further ones, and at least one of each kind.
     fn reduce_backlog(&mut self) {
