A request of a client that has left is not started, nor run again when it comes again

Callers that closed a connection with much unread had their requests forwarded afterwards; a request that may have run was run again when it came again after its client had left, also at the other process of an upgrade. Cause: unread input hides the end of the stream from peek, and only 4 KiB were read ahead; an id was forgotten as soon as its client had left, and at the successor when the predecessor exited. Change: before a query is started its connection is read to the end, up to 128 KiB (within the clients' memory); beyond that it is rejected with 429 (why 'read_ahead') and nothing is sent, and a request in flight is ended in the same way. Ids of the predecessor are looked up in a set, no longer in a list. Open: an id that comes to the successor within 20 ms, before the next load report.

--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -15,8 +15,11 @@
 pub(super) const READ_BUFFER_BYTES: usize = 16 * 1024;
 /// Input buffer that a connection keeps between two requests.
 const MAX_KEPT_INPUT_BYTES: usize = READ_BUFFER_BYTES;
-/// Limit on the input that is read while a request is in flight. Further input stays in the socket.
-const MAX_READ_AHEAD_BYTES: usize = 4 * 1024;
+/// Limit on the input that is read before a request is started and while it is in flight, to find the end of the stream. The platform's
+/// clients send one request at a time; one that sends more than this ahead is not served.
+const MAX_READ_AHEAD_BYTES: usize = 128 * 1024;
+/// Buffer size for one read ahead.
+const READ_AHEAD_BUFFER_BYTES: usize = 4 * 1024;
 /// Limit on the input that is discarded after the last response. Further input stays in the socket.
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
 /// Timeout from the first to the last byte of a request.
@@ -58,6 +61,17 @@
     Failed,
 }
 
+/// Whether a client is still connected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClientPresence {
+    /// All input has been read, and the client has not closed its side.
+    Connected,
+    /// The client has closed its side.
+    Disconnected,
+    /// Unread input may hide that the client has closed its side.
+    Unknown,
+}
+
 /// Progress of writing a response.
 pub(super) enum WriteProgress {
     /// Response written completely.
@@ -242,18 +256,25 @@
         }
     }
 
-    /// Reads input up to a limit while a request is in flight, in order to detect the end of the stream, which follows any
-    /// input that the client sends ahead.
-    pub(super) fn read_ahead(&mut self) {
-        let mut buffer = [0; MAX_READ_AHEAD_BYTES];
+    /// Reads input up to a limit before a request is started or while it is in flight, in order to detect the end of the stream,
+    /// which follows any input that the client sends ahead.
+    pub(super) fn read_ahead(&mut self) -> ClientPresence {
+        let mut buffer = [0; READ_AHEAD_BUFFER_BYTES];
         while !self.has_disconnected && self.input.len() < MAX_READ_AHEAD_BYTES {
-            let space = MAX_READ_AHEAD_BYTES - self.input.len();
-            match self.read_socket(&mut buffer[..space]) {
-                SocketRead::Bytes(count) => self.input.extend_from_slice(&buffer[..count]),
-                SocketRead::Blocked => return,
+            match self.read_socket(&mut buffer) {
+                SocketRead::Bytes(count) => {
+                    self.input.reserve_exact(count);
+                    self.input.extend_from_slice(&buffer[..count]);
+                }
+                SocketRead::Blocked => return ClientPresence::Connected,
                 SocketRead::Closed | SocketRead::Failed => self.has_disconnected = true,
             }
         }
+        if self.has_disconnected {
+            ClientPresence::Disconnected
+        } else {
+            ClientPresence::Unknown
+        }
     }
 
     /// Returns whether input is to be discarded, which is the case after the last response and up to a limit. Input above
@@ -263,9 +284,14 @@
         self.state == ClientState::Lingering && self.discarded_bytes <= MAX_DISCARDED_BYTES
     }
 
-    /// Returns whether the client has closed its side, as far as `peek` shows. Unread input hides the end of the stream.
-    pub(super) fn is_closed_by_client(&self) -> bool {
-        self.has_disconnected || matches!(self.stream.peek(&mut [0]), Ok(0))
+    /// Returns whether the client is still connected, without reading its input.
+    pub(super) fn peek_presence(&self) -> ClientPresence {
+        match self.stream.peek(&mut [0]) {
+            _ if self.has_disconnected => ClientPresence::Disconnected,
+            Ok(0) => ClientPresence::Disconnected,
+            Ok(_) => ClientPresence::Unknown,
+            Err(_) => ClientPresence::Connected,
+        }
     }
 
     /// Writes as much of the response as the socket accepts.
--- a/src/net/client/connections.rs
+++ b/src/net/client/connections.rs
@@ -337,6 +337,18 @@
         }
     }
 
+    /// Sets the context of a search API request that is answered without being accepted.
+    pub(super) fn set_search_context(
+        &mut self,
+        runtime: &mut Runtime,
+        key: ConnectionKey,
+        search_context: Option<SearchContext>,
+    ) {
+        if let Some(client) = client_mut(&mut runtime.connections, key) {
+            client.search_context = search_context;
+        }
+    }
+
     /// Returns the earliest time since which the client's input may have waited for a turn; `f64::MAX` if it has not.
     pub(super) fn waits_since(&self, runtime: &Runtime, key: ConnectionKey) -> f64 {
         match runtime.connections.get(key) {
--- a/src/net/client/reading.rs
+++ b/src/net/client/reading.rs
@@ -3,7 +3,7 @@
 //! Valid queries and page requests are returned as [`ClientEvent`]s, which `routing` forwards to the other subsystems.
 
 use crate::net::backlog::{Work, MAX_READS_PER_TURN};
-use crate::net::client::connection::{ClientState, SocketRead, READ_BUFFER_BYTES};
+use crate::net::client::connection::{ClientPresence, ClientState, SocketRead, READ_BUFFER_BYTES};
 use crate::net::client::connection_error::ConnectionError;
 use crate::net::client::connections::{
     client_mut, ClientConnections, ClientEvent, CloseReason, InvalidRequest, ServingConditions,
@@ -201,7 +201,10 @@
         let error = match platform::parse_request(&message, &runtime.deployment) {
             Ok(PlatformRequest::Page) => return Some(ClientEvent::Page(message)),
             Ok(PlatformRequest::Query(query_request)) => {
-                if !runtime.coordinator.is_request_open(&query_request.id) {
+                let coordinator = &runtime.coordinator;
+                let is_duplicate = coordinator.is_request_open(&query_request.id)
+                    || coordinator.has_recently_run(runtime.now, &query_request);
+                if !is_duplicate {
                     return Some(ClientEvent::Query {
                         query_request,
                         search_context: None,
@@ -272,17 +275,28 @@
         }
     }
 
-    /// Closes the connection if the client closed its side right after sending a request, before the request is started.
-    /// Returns whether the client is still connected.
-    pub(super) fn check_connected(&mut self, runtime: &mut Runtime, key: ConnectionKey) -> bool {
+    /// Closes the connection if the client closed its side right after sending a request, before the request is started. The end
+    /// of the stream follows all input, so input is read ahead to find it.
+    pub(super) fn check_presence(
+        &mut self,
+        runtime: &mut Runtime,
+        key: ConnectionKey,
+        conditions: ServingConditions,
+    ) -> ClientPresence {
         let Some(client) = client_mut(&mut runtime.connections, key) else {
-            return false;
+            return ClientPresence::Disconnected;
+        };
+        let own_bytes = client.memory_bytes();
+        let presence = if self.is_memory_exhausted(own_bytes, conditions) {
+            client.peek_presence()
+        } else {
+            client.read_ahead()
         };
-        if client.is_closed_by_client() {
+        self.count_memory(runtime, key);
+        if presence == ClientPresence::Disconnected {
             self.close(runtime, key, CloseReason::ClientClosed);
-            return false;
         }
-        true
+        presence
     }
 
     /// Submits a query to the request coordinator. The final answer may already be among the resulting commands.
@@ -314,9 +328,22 @@
         let Some(client) = client_mut(&mut runtime.connections, key) else {
             return;
         };
-        client.read_ahead();
-        if !client.has_disconnected {
+        let presence = client.read_ahead();
+        self.count_memory(runtime, key);
+        let Some(client) = client_mut(&mut runtime.connections, key) else {
             return;
+        };
+        match (presence, client.state) {
+            (ClientPresence::Connected, _) => return,
+            (ClientPresence::Unknown, ClientState::InFlight(request)) => {
+                return runtime.coordinator.client_unreadable(
+                    runtime.now,
+                    request,
+                    &mut runtime.commands,
+                );
+            }
+            (ClientPresence::Unknown, _) => return,
+            (ClientPresence::Disconnected, _) => {}
         }
         if let ClientState::InFlight(request) = client.state {
             let elapsed_s = runtime.now - client.state_since;
--- a/src/net/client/routing.rs
+++ b/src/net/client/routing.rs
@@ -6,6 +6,7 @@
 
 use crate::net::admin::metrics_page;
 use crate::net::backlog::Work;
+use crate::net::client::connection::ClientPresence;
 use crate::net::client::connections::{ClientEvent, ServingConditions};
 use crate::net::client::eviction::{find_candidate, EvictionRank};
 use crate::net::client::opensearch::SearchContext;
@@ -18,7 +19,7 @@
 use crate::net::timer_queue::Deadline;
 use crate::net::tokens::{connection_key, token};
 use crate::net::ConnectionKey;
-use crate::requests::coordinator::{FinalAnswer, Protocol, QueryRequest};
+use crate::requests::coordinator::{FinalAnswer, Protocol, QueryRequest, Reason};
 use mio::net::TcpStream;
 use std::io;
 
@@ -174,8 +175,16 @@
         mut query_request: QueryRequest,
         search_context: Option<SearchContext>,
     ) {
-        if !self.clients.check_connected(&mut self.runtime, key) {
-            return;
+        let conditions = self.serving_conditions();
+        match self
+            .clients
+            .check_presence(&mut self.runtime, key, conditions)
+        {
+            ClientPresence::Connected => {}
+            ClientPresence::Disconnected => return,
+            ClientPresence::Unknown => {
+                return self.reject_unreadable(key, &query_request, search_context);
+            }
         }
         // The request may have arrived right after the previous poll, or have waited in the backlog, so the client may already
         // have waited since then.
@@ -194,6 +203,26 @@
             .submit(&mut self.runtime, key, query_request, search_context);
     }
 
+    /// Rejects a query because its client has sent so many further requests that it may have left since.
+    fn reject_unreadable(
+        &mut self,
+        key: ConnectionKey,
+        query_request: &QueryRequest,
+        search_context: Option<SearchContext>,
+    ) {
+        let reason = Reason::ReadAhead;
+        let answer = FinalAnswer::Rejected {
+            reason,
+            retry_after_s: 0.0,
+        };
+        self.runtime
+            .coordinator
+            .count_rejected(query_request, reason);
+        self.clients
+            .set_search_context(&mut self.runtime, key, search_context);
+        self.reply(key, query_request, answer, 0.0);
+    }
+
     /// Serves a page under `/-/`, for operators and load balancers.
     fn serve_page(&mut self, key: ConnectionKey, message: &Message) {
         let StartLine::Request { method, target } = &message.start else {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -24,7 +24,6 @@
 use crate::endpoints::lease::LeaseHandover;
 use crate::net::runtime::Runtime;
 use crate::net::timer_queue::{Deadline, TIMER_TOLERANCE_S};
-use crate::requests::process_load::ProcessLoad;
 use link::{Link, Stage};
 use messages::{LoadMessage, Message, ACCEPT_LINE, COMMIT_LINE, REQUEST_LINE};
 use mio::net::{TcpListener, UnixListener, UnixStream};
@@ -472,11 +471,9 @@
             }
             (Side::Predecessor, Stage::Committed) => {
                 self.predecessor_connections = ConnectionCounts::default();
-                runtime.coordinator.set_predecessor_load(
-                    runtime.now,
-                    ProcessLoad::default(),
-                    &mut runtime.commands,
-                );
+                runtime
+                    .coordinator
+                    .predecessor_exited(runtime.now, &mut runtime.commands);
                 runtime.log("handover: the predecessor has exited");
             }
             (Side::Predecessor, _) => {
--- a/src/requests/coordinator.rs
+++ b/src/requests/coordinator.rs
@@ -23,11 +23,12 @@
 use crate::decisions::two_phase::{PhaseStatistics, TwoPhasePlanner};
 use crate::requests::attempt::{Attempt, CallQueue};
 use crate::requests::invariants::Invariants;
-use crate::requests::metrics::Metrics;
+use crate::requests::metrics::{increment, Metrics};
 use crate::requests::module_settings::{
     former_indices, module_classes, module_settings, new_phases, pre_check_class,
 };
 use crate::requests::part::PartState;
+use crate::requests::past_requests::{PastRequests, RequestEnd};
 use crate::requests::process_load::AttemptRecorder;
 use crate::requests::request::Request;
 use crate::Aggregator;
@@ -59,6 +60,8 @@
     queries: BTreeMap<QueryId, RequestKey>,
     /// Ids that clients gave to the open requests.
     open_ids: BTreeSet<String>,
+    /// Ids of requests that have ended and may have been executed.
+    past_requests: PastRequests,
     parts: BTreeMap<PartId, PartState>,
     invariants: Invariants,
     /// Number of open queries plus their parts; limited by `mostHeld`.
@@ -80,6 +83,8 @@
     recorder: AttemptRecorder,
     /// Load of the predecessor process during an upgrade.
     predecessor: ProcessLoad,
+    /// Ids of the predecessor's requests that are open or may have been executed.
+    predecessor_ids: BTreeSet<String>,
 }
 
 impl Coordinator {
@@ -98,6 +103,7 @@
             attempts: SlotMap::with_key(),
             queries: BTreeMap::new(),
             open_ids: BTreeSet::new(),
+            past_requests: PastRequests::default(),
             parts: BTreeMap::new(),
             invariants: Invariants::default(),
             open_count: 0,
@@ -110,6 +116,7 @@
             metrics,
             recorder: AttemptRecorder::default(),
             predecessor: ProcessLoad::default(),
+            predecessor_ids: BTreeSet::new(),
         }
     }
 
@@ -177,8 +184,9 @@
         for attempt in self.attempts.values() {
             *in_flight.entry(attempt.replica).or_default() += 1;
         }
+        let request_ids = self.open_ids.iter().chain(self.past_requests.ids());
         ProcessLoad {
-            request_ids: self.open_ids.iter().cloned().collect(),
+            request_ids: request_ids.cloned().collect(),
             open_count: self.open_count,
             attempts: PredecessorLoad {
                 in_flight: in_flight
@@ -191,11 +199,27 @@
     }
 
     /// Sets the load of the predecessor process, so that both processes together keep the limits of a single one.
-    pub fn set_predecessor_load(&mut self, now: f64, load: ProcessLoad, out: &mut Vec<Command>) {
+    pub fn set_predecessor_load(
+        &mut self,
+        now: f64,
+        mut load: ProcessLoad,
+        out: &mut Vec<Command>,
+    ) {
         self.handle_event(now, Event::PredecessorLoad(load.attempts.clone()), out);
+        self.predecessor_ids = std::mem::take(&mut load.request_ids).into_iter().collect();
         self.predecessor = load;
     }
 
+    /// Records that the predecessor process has exited. Its last requests may have been executed, and their clients may send
+    /// them again.
+    pub fn predecessor_exited(&mut self, now: f64, out: &mut Vec<Command>) {
+        for id in std::mem::take(&mut self.predecessor_ids) {
+            self.past_requests
+                .insert(now, &id, 0.0, RequestEnd::ClientLeft);
+        }
+        self.set_predecessor_load(now, ProcessLoad::default(), out);
+    }
+
     /// Returns the metrics of one protocol's requests.
     pub fn metrics(&self, protocol: Protocol) -> &Metrics {
         &self.metrics[protocol as usize]
@@ -260,10 +284,21 @@
             .reduce(f64::max)
     }
 
-    /// Returns whether a request with this id is open here or in the predecessor process. A second request with the same id
-    /// must not be accepted.
+    /// Returns whether a request with this id is open here, or is open or may have been executed in the predecessor process. A
+    /// second request with the same id must not be accepted.
     pub fn is_request_open(&self, id: &str) -> bool {
-        self.open_ids.contains(id) || self.predecessor.request_ids.iter().any(|other| other == id)
+        self.open_ids.contains(id) || self.predecessor_ids.contains(id)
+    }
+
+    /// Returns whether a request with the id of this query may have been executed a short time ago, and the query must not be
+    /// executed twice.
+    pub fn has_recently_run(&self, now: f64, query_request: &QueryRequest) -> bool {
+        self.has_effect(query_request) && self.past_requests.contains(now, &query_request.id)
+    }
+
+    fn has_effect(&self, query_request: &QueryRequest) -> bool {
+        let class = self.deployment.policy.classes.get(query_request.class);
+        class.is_some_and(|class| class.effect != Effect::Idempotent)
     }
 
     /// Returns whether an attempt has no outcome yet.
@@ -341,8 +376,10 @@
         caller: u64,
         out: &mut Vec<Command>,
     ) -> RequestKey {
-        let is_full =
-            self.open_count + self.predecessor.open_count >= self.deployment.max_in_flight;
+        self.past_requests.remove_expired(now);
+        let is_full = self.open_count + self.predecessor.open_count
+            >= self.deployment.max_in_flight
+            || (self.past_requests.is_full() && self.has_effect(&query_request));
         let key = self.open_request(now, query_request, caller);
         if is_full {
             // The decision module is not notified of a request beyond the limit.
@@ -366,10 +403,33 @@
         if let Some(metrics) = self.class_metrics(&request.query_request) {
             metrics.client_disconnected += 1;
         }
+        self.keep_id(now, &request, RequestEnd::ClientLeft);
         self.withdraw_unsent(now, &request, out);
         self.handle_event(now, Event::ClientDisconnected(request.query), out);
     }
 
+    /// Ends a request whose client has sent so much more that its disconnect could not be detected: nothing further is sent for it.
+    pub fn client_unreadable(&mut self, now: f64, key: RequestKey, out: &mut Vec<Command>) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let query = request.query;
+        let mut parts = request.parts.iter().filter_map(|id| self.parts.get(id));
+        let has_attempt_in_flight = parts.any(PartState::is_in_flight);
+        let answer = request.rejection(has_attempt_in_flight, Reason::ReadAhead, 0.0);
+        self.finish(now, key, answer, out);
+        self.handle_event(now, Event::ClientDisconnected(query), out);
+    }
+
+    /// Counts a query that is rejected before it is accepted.
+    pub fn count_rejected(&mut self, query_request: &QueryRequest, reason: Reason) {
+        let metrics = &mut self.metrics[query_request.protocol as usize];
+        increment(&mut metrics.rejected, reason);
+        if let Some(metrics) = self.class_metrics(query_request) {
+            metrics.rejected += 1;
+        }
+    }
+
     /// Records the end of an attempt. `value` is the replica's answer for the part, if the part was served.
     pub fn attempt_ended(
         &mut self,
--- a/src/requests/coordinator/answering.rs
+++ b/src/requests/coordinator/answering.rs
@@ -2,10 +2,11 @@
 //! in [`response`](crate::requests::response).
 
 use super::Coordinator;
-use crate::decisions::api::QueryId;
+use crate::decisions::api::{Effect, QueryId};
 use crate::requests::command::{Command, Wake};
 use crate::requests::metrics::{increment, ClassMetrics};
 use crate::requests::part::PartState;
+use crate::requests::past_requests::RequestEnd;
 use crate::requests::query_request::QueryRequest;
 use crate::requests::request::{Request, RequestKey};
 use crate::requests::response::{FinalAnswer, Reason};
@@ -60,6 +61,7 @@
         let Some(request) = self.remove_request(key, out) else {
             return;
         };
+        self.keep_id(now, &request, RequestEnd::Answered);
         self.withdraw_unsent(now, &request, out);
         let took_s = now - request.accepted_at;
         self.verify_in_time(now, &request, out);
@@ -119,6 +121,17 @@
             .get_mut(&query_request.class_name)
     }
 
+    /// Keeps the id of a request that has ended, if executing it again would do harm and it may have been executed.
+    pub(super) fn keep_id(&mut self, now: f64, request: &Request, end: RequestEnd) {
+        let settings = &request.class_settings;
+        let mut parts = request.parts.iter().filter_map(|id| self.parts.get(id));
+        let may_have_run = request.may_have_run || parts.any(PartState::is_in_flight);
+        if settings.effect != Effect::Idempotent && may_have_run {
+            let id = &request.query_request.id;
+            self.past_requests.insert(now, id, settings.deadline_s, end);
+        }
+    }
+
     /// Removes a request from the open ones. Parts with attempts in flight are kept until these attempts end.
     pub(super) fn remove_request(
         &mut self,
--- a/src/requests/metrics.rs
+++ b/src/requests/metrics.rs
@@ -30,6 +30,7 @@
             Reason::Abandoned => "given_up",
             Reason::DeadlineExceeded => "time_up",
             Reason::Incomplete => "not_whole",
+            Reason::ReadAhead => "read_ahead",
         }
     }
 }
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -11,6 +11,7 @@
 pub mod metrics;
 mod module_settings;
 mod part;
+mod past_requests;
 pub mod process_load;
 pub mod query_request;
 pub mod request;
--- a/src/requests/response.rs
+++ b/src/requests/response.rs
@@ -28,6 +28,9 @@
     DeadlineExceeded,
     /// The answer is partial and the client accepts only a complete one.
     Incomplete,
+    /// The client has sent so many further requests that its disconnect could not be detected. Nothing with an effect was
+    /// executed.
+    ReadAhead,
 }
 
 /// The final answer of a request.
