Nested JSON is rejected before it is decoded

A client or peer that wrote 4 MB of nested arrays to the store's key 'members', or a discovery that sent them, made a mixer of 64 MB take 476 MB: a decoded value takes up to a hundred times the memory of its text. Change: lists and the values of the keys members, drains and settings are scanned first: 400,000 values (a list of 10,000 servers has 100,000) and 32 levels.

--- a/src/endpoints/mod.rs
+++ b/src/endpoints/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod directory;
 pub mod heartbeat;
+pub mod json_limits;
 pub mod lease;
 pub mod list_format;
 pub mod missing_answers;
--- a/src/net/discovery/connection.rs
+++ b/src/net/discovery/connection.rs
@@ -138,6 +138,8 @@
     NotUtf8,
     #[error("list is not valid JSON, or truncated")]
     NotJson,
+    #[error("list has too many values, or too deep ones")]
+    TooManyValues,
     #[error("answer has no member list")]
     NoEndpoints,
 }
--- a/src/net/discovery/list.rs
+++ b/src/net/discovery/list.rs
@@ -1,5 +1,6 @@
 //! Limits on an answer of discovery, and its decoding.
 
+use crate::endpoints::json_limits;
 use crate::net::discovery::connection::DiscoveryError;
 use crate::net::http::{Message, StartLine};
 use miniserde::json::Value;
@@ -31,6 +32,9 @@
         StartLine::Request { .. } => return Err(DiscoveryError::NoAnswer),
     }
     let text = std::str::from_utf8(&message.body).map_err(|_| DiscoveryError::NotUtf8)?;
+    if !json_limits::is_within_limits(text) {
+        return Err(DiscoveryError::TooManyValues);
+    }
     miniserde::json::from_str(text).map_err(|_| DiscoveryError::NotJson)
 }
 
--- a/src/net/store_peers/contents.rs
+++ b/src/net/store_peers/contents.rs
@@ -1,6 +1,7 @@
 //! The keys of the store that a mixer uses, and the formats of their values.
 
 use crate::config::{self, Deployment, SettingsError};
+use crate::endpoints::json_limits;
 use crate::store::is_storable;
 use miniserde::json::{self, Value};
 
@@ -26,8 +27,11 @@
 }
 
 impl StoredChange {
-    /// Decodes a value. Returns `None` if the mixer does not use its key.
+    /// Decodes a value. Returns `None` if the mixer does not use its key, or the value is beyond the limits on JSON texts.
     pub(super) fn decode(key: &str, value: &str) -> Option<StoredChange> {
+        if !json_limits::is_within_limits(value) {
+            return None;
+        }
         match key {
             ENDPOINT_LIST => json::from_str(value).ok().map(StoredChange::EndpointList),
             DRAINING => Some(StoredChange::Draining(
@@ -49,6 +53,9 @@
 }
 
 fn has_valid_form(key: &str, value: &str) -> bool {
+    if KEYS.contains(&key) && !json_limits::is_within_limits(value) {
+        return false;
+    }
     match key {
         ENDPOINT_LIST => json::from_str::<Value>(value).is_ok(),
         DRAINING => json::from_str::<Vec<String>>(value).is_ok(),
