--- a/crates/wharfhub-testbed/src/daemon.rs
+++ b/crates/wharfhub-testbed/src/daemon.rs
@@ -16,7 +16,7 @@
 const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Capacity of a pipe (Linux), and the part of it that is left for a daemon whose log is not read.
 const PIPE_BYTES: usize = 65_536;
-const LOG_ROOM_BYTES: usize = 4096;
+const FREE_PIPE_BYTES: usize = 4096;
 /// Buffer of the thread that reads the log.
 const LOG_BUFFER_BYTES: usize = 1024;
 
@@ -179,7 +179,7 @@
         self.log_pipe.write_all(&[b'\n'; LOG_BUFFER_BYTES])?;
         std::thread::sleep(UNREAD_CHECK_INTERVAL);
         self.log_pipe
-            .write_all(&[b'x'; PIPE_BYTES - LOG_ROOM_BYTES])
+            .write_all(&[b'x'; PIPE_BYTES - FREE_PIPE_BYTES])
     }
 
     /// Reads the CPU time and memory of the process. `schedstat` has a resolution of nanoseconds; `/proc/PID/stat` counts ticks of
--- a/crates/wharfhub-testbed/src/emulator/mod.rs
+++ b/crates/wharfhub-testbed/src/emulator/mod.rs
@@ -431,8 +431,7 @@
                     }
                 }
                 Command::CloseIdle { replica } => self.mixers[mixer].pool.close_idle(replica.0 - 1),
-                // The emulated list sends its changes without a request.
-                // A deadline that is no longer needed has no effect.
+                // The emulated list sends its changes without a request, and outdated deadlines have no effect.
                 Command::Watch | Command::CancelWake { .. } | Command::Log(_) => {}
             }
         }
--- a/crates/wharfhub-testbed/src/flood/sender.rs
+++ b/crates/wharfhub-testbed/src/flood/sender.rs
@@ -1,4 +1,4 @@
-//! The peers that send to a mixer at full speed, or hold its memory. Each thread drives one connection at a time, or a crowd of
+//! The peers that send to a mixer at full speed, or hold its memory. Each thread drives one connection at a time, or many
 //! connections.
 
 use super::mixer::Addresses;
@@ -16,13 +16,13 @@
 const SENDERS: usize = 6;
 /// Size up to which requests are collected for one write (bytes).
 const BLOCK_BYTES: usize = 32 * 1024;
-/// Number of connections of a crowd.
-const CROWD: usize = 600;
+/// Number of connections of clients that stop and stay.
+const STALLED_CONNECTIONS: usize = 600;
 /// Pause of a sender whose connection accepts no more bytes.
 const BLOCKED_PAUSE: Duration = Duration::from_micros(200);
-/// Interval at which a crowd replaces the connections that the mixer has closed.
-const CROWD_INTERVAL: Duration = Duration::from_millis(20);
-/// Bytes that a client of a crowd sends of its body of 64 KiB.
+/// Interval at which stalled clients replace the connections that the mixer has closed.
+const REPLACE_INTERVAL: Duration = Duration::from_millis(20);
+/// Bytes that a stalled client sends of its body of 64 KiB.
 const SENT_BODY_BYTES: usize = 60 * 1024;
 /// Number of fields in the head of a request with many of them, below the limit of 64.
 const FIELDS: usize = 60;
@@ -135,7 +135,7 @@
         FloodKind::HalfRequests
         | FloodKind::ManyFields
         | FloodKind::UnreadAnswers
-        | FloodKind::StorePeerConnections => return hold_crowd(kind, addresses, shared),
+        | FloodKind::StorePeerConnections => return hold_stalled(kind, addresses, shared),
         _ => {}
     }
     while !shared.is_stopped() {
@@ -310,19 +310,19 @@
     }
 }
 
-/// Keeps a crowd of connections open that each hold as much of the mixer's memory as they can.
-fn hold_crowd(kind: FloodKind, addresses: &Addresses, shared: &Shared) {
-    let mut crowd: Vec<TcpStream> = Vec::new();
+/// Keeps many connections open that each hold as much of the mixer's memory as they can.
+fn hold_stalled(kind: FloodKind, addresses: &Addresses, shared: &Shared) {
+    let mut stalled: Vec<TcpStream> = Vec::new();
     while !shared.is_stopped() {
-        crowd.retain_mut(|stream| is_open(stream, kind));
-        while crowd.len() < CROWD && !shared.is_stopped() {
-            let Ok(stream) = join_crowd(kind, target(kind, addresses)) else {
+        stalled.retain_mut(|stream| is_open(stream, kind));
+        while stalled.len() < STALLED_CONNECTIONS && !shared.is_stopped() {
+            let Ok(stream) = open_stalled(kind, target(kind, addresses)) else {
                 break;
             };
             shared.count(1);
-            crowd.push(stream);
+            stalled.push(stream);
         }
-        std::thread::sleep(CROWD_INTERVAL);
+        std::thread::sleep(REPLACE_INTERVAL);
     }
 }
 
@@ -339,8 +339,8 @@
     }
 }
 
-/// Opens a connection of a crowd and writes what the mixer has to keep.
-fn join_crowd(kind: FloodKind, address: SocketAddr) -> io::Result<TcpStream> {
+/// Opens a connection of a stalled client and writes what the mixer has to keep.
+fn open_stalled(kind: FloodKind, address: SocketAddr) -> io::Result<TcpStream> {
     let mut stream = TcpStream::connect(address)?;
     stream.set_nonblocking(true)?;
     let fields: String = match kind {
--- a/crates/wharfhub-testbed/tests/flood.rs
+++ b/crates/wharfhub-testbed/tests/flood.rs
@@ -13,7 +13,7 @@
 
 /// A client that sent requests which were answered at once held up the whole event loop for as long as it sent (issue 64).
 #[rstest]
-fn other_clients_are_answered_in_time_beside_clients_at_full_speed(
+fn other_clients_are_answered_in_time_during_a_flood_of_requests(
     #[values(
         FloodKind::ReadyPage,
         FloodKind::MetricsPage,
@@ -43,13 +43,13 @@
 
 /// A leaf server that repeated an answer without end held up the whole event loop (issue 64).
 #[test]
-fn other_clients_are_answered_in_time_beside_a_leaf_server_that_repeats_an_answer() {
+fn other_clients_are_answered_in_time_while_a_leaf_server_repeats_an_answer() {
     assert_bounded(FloodKind::LeafAnswers);
 }
 
 /// Peers of the store that sent requests at full speed held up the event loop, and their requests filled the memory (issue 64).
 #[rstest]
-fn other_clients_are_answered_in_time_beside_peers_of_the_store(
+fn other_clients_are_answered_in_time_during_a_flood_by_store_peers(
     #[values(FloodKind::StorePeerRequests, FloodKind::StorePeerConnections)] kind: FloodKind,
 ) {
     assert_bounded(kind);
@@ -57,7 +57,7 @@
 
 /// Discovery that sent an answer without end, and VRRP peers, kept the event loop busy for as long as they sent (issue 64).
 #[rstest]
-fn other_clients_are_answered_in_time_beside_discovery_vrrp_and_operators(
+fn other_clients_are_answered_in_time_during_a_flood_by_discovery_vrrp_or_operators(
     #[values(
         FloodKind::DiscoveryTrailer,
         FloodKind::VrrpAdvertisements,
@@ -72,7 +72,7 @@
 /// Hundreds of clients that stop within a large request, send many short fields, or do not read their answers, made a process exceed
 /// its memory limit (issue 64).
 #[rstest]
-fn memory_stays_within_its_limit_beside_a_crowd_of_clients(
+fn memory_stays_within_its_limit_with_many_stalled_clients(
     #[values(
         FloodKind::HalfRequests,
         FloodKind::ManyFields,
@@ -85,6 +85,6 @@
 
 /// A log reader that had stopped held up the whole event loop once the pipe was full (issue 64).
 #[test]
-fn other_clients_are_answered_in_time_beside_a_log_that_is_not_read() {
+fn other_clients_are_answered_in_time_while_the_log_is_not_read() {
     assert_bounded(FloodKind::UnreadLog);
 }
--- a/src/net/discovery/answers.rs
+++ b/src/net/discovery/answers.rs
@@ -4,7 +4,6 @@
 use crate::endpoints::lease::{CallOutcome, NextCall};
 use crate::endpoints::list_format;
 use crate::endpoints::missing_answers::CallEnd;
-use crate::net::backlog::Work;
 use crate::net::discovery::calls::Step;
 use crate::net::discovery::client::DiscoveryClient;
 use crate::net::discovery::connection::{Call, DiscoveryError, OpenCall, Received, Role};
@@ -135,9 +134,6 @@
         };
         let received = connection.receive(previous_iteration_at, now);
         let due = connection.due;
-        if connection.needs_turn {
-            runtime.backlog.push(Work::Connection(key));
-        }
         if due != due_before && due < f64::MAX {
             runtime.timers.add(due, Deadline::Connection(key));
         }
--- a/src/net/discovery/routing.rs
+++ b/src/net/discovery/routing.rs
@@ -9,6 +9,7 @@
 use crate::net::discovery::calls::{PlannedCall, Step};
 use crate::net::discovery::connection::{Call, DiscoveryError, Role};
 use crate::net::discovery::lease::MAX_LOOP_DELAY_S;
+use crate::net::discovery::link::connection;
 use crate::net::event_loop::{Mixer, PollEvents};
 use crate::net::http::Message;
 use crate::net::lifecycle::Phase;
@@ -123,7 +124,12 @@
     pub(in crate::net) fn discovery_event(&mut self, key: ConnectionKey) {
         match self.discovery.receive(&mut self.runtime, key) {
             ReadOutcome::NotConnected => {}
-            ReadOutcome::Incomplete => self.publish_lease(),
+            ReadOutcome::Incomplete => {
+                if connection(&self.runtime, key).is_some_and(|connection| connection.needs_turn) {
+                    self.runtime.backlog.push(Work::Connection(key));
+                }
+                self.publish_lease();
+            }
             ReadOutcome::Failed(error) => self.end_discovery(key, error),
             ReadOutcome::Answer(message) => self.discovery_answered(key, &message),
         }
--- a/src/net/log/writer/tests.rs
+++ b/src/net/log/writer/tests.rs
@@ -19,7 +19,7 @@
     }
     assert!(log.omitted_lines > 0);
     assert!(log.pending.len() <= MAX_PENDING_BYTES);
-    // One read empties the pipe, which no more than this fits into.
+    // The buffer exceeds the capacity of the pipe, so that a single read empties the pipe.
     let _ = reader.read(&mut vec![0; 1 << 20]).unwrap();
     log.write_line("last\n");
     drop((log, writer));
--- a/src/net/loop_metrics.rs
+++ b/src/net/loop_metrics.rs
@@ -1,4 +1,4 @@
-//! Counters of the event loop's iterations, by which operators tell work of the process from lack of processor time.
+//! Counters of the event loop's iterations, by which operators distinguish too much work from too little processor time.
 
 use crate::net::discovery::lease::{MAX_LOOP_DELAY_S, MIN_PROCESS_PAUSE_S};
 
--- a/src/requests/coordinator.rs
+++ b/src/requests/coordinator.rs
@@ -23,13 +23,13 @@
 use crate::decisions::two_phase::{PhaseStatistics, TwoPhasePlanner};
 use crate::requests::attempt::{Attempt, CallQueue};
 use crate::requests::invariants::Invariants;
-use crate::requests::metrics::{increment, Metrics};
+use crate::requests::metrics::Metrics;
 use crate::requests::module_settings::{
     former_indices, module_classes, module_settings, new_phases, pre_check_class,
 };
 use crate::requests::part::PartState;
-use crate::requests::past_requests::{PastRequests, RequestEnd};
 use crate::requests::process_load::AttemptRecorder;
+use crate::requests::recent_requests::{RecentRequests, RequestEnd};
 use crate::requests::request::Request;
 use crate::Aggregator;
 use attempts::Dispatch;
@@ -61,7 +61,7 @@
     /// Ids that clients gave to the open requests.
     open_ids: BTreeSet<String>,
     /// Ids of requests that have ended and may have been executed.
-    past_requests: PastRequests,
+    recent_requests: RecentRequests,
     parts: BTreeMap<PartId, PartState>,
     invariants: Invariants,
     /// Number of open queries plus their parts; limited by `mostHeld`.
@@ -103,7 +103,7 @@
             attempts: SlotMap::with_key(),
             queries: BTreeMap::new(),
             open_ids: BTreeSet::new(),
-            past_requests: PastRequests::default(),
+            recent_requests: RecentRequests::default(),
             parts: BTreeMap::new(),
             invariants: Invariants::default(),
             open_count: 0,
@@ -184,7 +184,7 @@
         for attempt in self.attempts.values() {
             *in_flight.entry(attempt.replica).or_default() += 1;
         }
-        let request_ids = self.open_ids.iter().chain(self.past_requests.ids());
+        let request_ids = self.open_ids.iter().chain(self.recent_requests.ids());
         ProcessLoad {
             request_ids: request_ids.cloned().collect(),
             open_count: self.open_count,
@@ -214,7 +214,7 @@
     /// them again.
     pub fn predecessor_exited(&mut self, now: f64, out: &mut Vec<Command>) {
         for id in std::mem::take(&mut self.predecessor_ids) {
-            self.past_requests
+            self.recent_requests
                 .insert(now, &id, 0.0, RequestEnd::ClientLeft);
         }
         self.set_predecessor_load(now, ProcessLoad::default(), out);
@@ -293,9 +293,10 @@
     /// Returns whether a request with the id of this query may have been executed a short time ago, and the query must not be
     /// executed twice.
     pub fn has_recently_run(&self, now: f64, query_request: &QueryRequest) -> bool {
-        self.has_effect(query_request) && self.past_requests.contains(now, &query_request.id)
+        self.has_effect(query_request) && self.recent_requests.contains(now, &query_request.id)
     }
 
+    /// Returns whether running a query twice would do harm.
     fn has_effect(&self, query_request: &QueryRequest) -> bool {
         let class = self.deployment.policy.classes.get(query_request.class);
         class.is_some_and(|class| class.effect != Effect::Idempotent)
@@ -376,10 +377,10 @@
         caller: u64,
         out: &mut Vec<Command>,
     ) -> RequestKey {
-        self.past_requests.remove_expired(now);
+        self.recent_requests.remove_expired(now);
         let is_full = self.open_count + self.predecessor.open_count
             >= self.deployment.max_in_flight
-            || (self.past_requests.is_full() && self.has_effect(&query_request));
+            || (self.recent_requests.is_full() && self.has_effect(&query_request));
         let key = self.open_request(now, query_request, caller);
         if is_full {
             // The decision module is not notified of a request beyond the limit.
@@ -408,28 +409,6 @@
         self.handle_event(now, Event::ClientDisconnected(request.query), out);
     }
 
-    /// Ends a request whose client has sent so much more that its disconnect could not be detected: nothing further is sent for it.
-    pub fn client_unreadable(&mut self, now: f64, key: RequestKey, out: &mut Vec<Command>) {
-        let Some(request) = self.requests.get(key) else {
-            return;
-        };
-        let query = request.query;
-        let mut parts = request.parts.iter().filter_map(|id| self.parts.get(id));
-        let has_attempt_in_flight = parts.any(PartState::is_in_flight);
-        let answer = request.rejection(has_attempt_in_flight, Reason::ReadAhead, 0.0);
-        self.finish(now, key, answer, out);
-        self.handle_event(now, Event::ClientDisconnected(query), out);
-    }
-
-    /// Counts a query that is rejected before it is accepted.
-    pub fn count_rejected(&mut self, query_request: &QueryRequest, reason: Reason) {
-        let metrics = &mut self.metrics[query_request.protocol as usize];
-        increment(&mut metrics.rejected, reason);
-        if let Some(metrics) = self.class_metrics(query_request) {
-            metrics.rejected += 1;
-        }
-    }
-
     /// Records the end of an attempt. `value` is the replica's answer for the part, if the part was served.
     pub fn attempt_ended(
         &mut self,
--- a/src/requests/coordinator/answering.rs
+++ b/src/requests/coordinator/answering.rs
@@ -2,12 +2,12 @@
 //! in [`response`](crate::requests::response).
 
 use super::Coordinator;
-use crate::decisions::api::{Effect, QueryId};
+use crate::decisions::api::{Effect, Event, QueryId};
 use crate::requests::command::{Command, Wake};
 use crate::requests::metrics::{increment, ClassMetrics};
 use crate::requests::part::PartState;
-use crate::requests::past_requests::RequestEnd;
 use crate::requests::query_request::QueryRequest;
+use crate::requests::recent_requests::RequestEnd;
 use crate::requests::request::{Request, RequestKey};
 use crate::requests::response::{FinalAnswer, Reason};
 
@@ -50,6 +50,28 @@
         self.finish(now, key, answer, out);
     }
 
+    /// Ends a request whose client has sent so much more that its disconnect could not be detected: nothing further is sent for it.
+    pub fn client_unreadable(&mut self, now: f64, key: RequestKey, out: &mut Vec<Command>) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let query = request.query;
+        let mut parts = request.parts.iter().filter_map(|id| self.parts.get(id));
+        let has_attempt_in_flight = parts.any(PartState::is_in_flight);
+        let answer = request.rejection(has_attempt_in_flight, Reason::ReadAhead, 0.0);
+        self.finish(now, key, answer, out);
+        self.handle_event(now, Event::ClientDisconnected(query), out);
+    }
+
+    /// Counts a query that is rejected before it is accepted.
+    pub fn count_rejected(&mut self, query_request: &QueryRequest, reason: Reason) {
+        let metrics = &mut self.metrics[query_request.protocol as usize];
+        increment(&mut metrics.rejected, reason);
+        if let Some(metrics) = self.class_metrics(query_request) {
+            metrics.rejected += 1;
+        }
+    }
+
     /// Removes an open request and issues its final answer. Every final answer passes through this method.
     pub(super) fn finish(
         &mut self,
@@ -128,7 +150,8 @@
         let may_have_run = request.may_have_run || parts.any(PartState::is_in_flight);
         if settings.effect != Effect::Idempotent && may_have_run {
             let id = &request.query_request.id;
-            self.past_requests.insert(now, id, settings.deadline_s, end);
+            self.recent_requests
+                .insert(now, id, settings.deadline_s, end);
         }
     }
 
--- a/src/requests/past_requests.rs
+++ b/src/requests/recent_requests.rs
@@ -47,16 +47,16 @@
     }
 }
 
-/// The ids of past requests. Times are on the event loop's clock (seconds).
+/// The ids of recent requests. Times are on the event loop's clock (seconds).
 #[derive(Debug, Default)]
-pub(super) struct PastRequests {
+pub(super) struct RecentRequests {
     answered: ExpiringIds,
     client_left: ExpiringIds,
 }
 
-impl PastRequests {
+impl RecentRequests {
     /// Keeps the id of a request that ended now. The oldest answered ones make room for others; the ids of clients that left are
-    /// kept until they expire, and [`PastRequests::is_full`] tells when no more fit.
+    /// kept until they expire, and [`RecentRequests::is_full`] returns whether more of them fit.
     pub(super) fn insert(&mut self, now: f64, id: &str, deadline_s: f64, end: RequestEnd) {
         let expires_at = now + deadline_s.clamp(MIN_RETENTION_S, MAX_RETENTION_S);
         self.remove_expired(now);
