A single new client is read at once; the backlog serves what waited at the poll

Since accepting was parted from reading, both were more often read in one iteration, with one clock reading; before any latency is known, the cost of each server is 0 then, and the draw that breaks the tie chooses the same server twice. Change: the first connection that an iteration accepts is read at once if no other waits for its first turn, as before; turns are given to the sources that waited at the poll, not to those that were queued since.

--- a/src/net/backlog.rs
+++ b/src/net/backlog.rs
@@ -27,6 +27,13 @@
     Link(Side),
 }
 
+/// Numbers of sources that wait for a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::net) struct TurnCounts {
+    pub(in crate::net) first: usize,
+    pub(in crate::net) further: usize,
+}
+
 /// Pending work in the order in which it was queued. Each source is queued at most once.
 #[derive(Debug, Default)]
 pub(in crate::net) struct Backlog {
@@ -76,6 +83,14 @@
         self.queued.is_empty()
     }
 
+    /// Returns how many sources wait for their first turn, and how many for a further one.
+    pub(in crate::net) fn counts(&self) -> TurnCounts {
+        TurnCounts {
+            first: self.first_turns.len(),
+            further: self.further_turns.len(),
+        }
+    }
+
     /// Returns the number of sources that wait for a turn.
     pub(in crate::net) fn len(&self) -> usize {
         self.queued.len()
--- a/src/net/client/routing.rs
+++ b/src/net/client/routing.rs
@@ -55,12 +55,16 @@
 
     /// Accepts client connections of a listener until the given time, at least one. Returns whether more may be pending.
     fn accept_until(&mut self, end_at: f64, protocol: Protocol) -> bool {
+        let mut is_first = true;
         loop {
             let Some(listener) = self.listeners.get(protocol) else {
                 return false;
             };
             match listener.accept() {
-                Ok((stream, _)) => self.add_client(stream, protocol),
+                Ok((stream, _)) => {
+                    let key = self.add_client(stream, protocol);
+                    self.begin_first_turn(key, std::mem::take(&mut is_first));
+                }
                 Err(error) => match error.kind() {
                     io::ErrorKind::WouldBlock => return false,
                     io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted => {}
@@ -83,24 +87,30 @@
     }
 
     /// Serves an accepted client, or rejects it if the client limit is reached and no other connection can be evicted.
-    fn add_client(&mut self, stream: TcpStream, protocol: Protocol) {
+    /// Returns the connection of a client that is served.
+    fn add_client(&mut self, stream: TcpStream, protocol: Protocol) -> Option<ConnectionKey> {
         let max_clients = self.connection_limits().clients;
         if self.clients.count() >= max_clients && !self.evict_up_to(EvictionRank::RecentlyActive) {
             let conditions = self.serving_conditions();
-            return self.clients.reject(
-                &mut self.runtime,
-                stream,
-                protocol,
-                max_clients,
-                conditions,
-            );
+            self.clients
+                .reject(&mut self.runtime, stream, protocol, max_clients, conditions);
+            return None;
         }
         let conditions = self.serving_conditions();
         let key = self
             .clients
             .insert(&mut self.runtime, stream, protocol, conditions);
         self.clients.schedule_deadline(&mut self.runtime, key);
-        // The first request is read in a turn of its own, so that requests do not delay the accept queue.
+        Some(key)
+    }
+
+    /// Gives a new client its first turn now, if it is the only one that waits. Otherwise the turn is queued, so that requests do
+    /// not delay the accept queue.
+    fn begin_first_turn(&mut self, key: Option<ConnectionKey>, is_first: bool) {
+        let Some(key) = key else { return };
+        if is_first && self.runtime.backlog.counts().first == 0 {
+            return self.read_client(key);
+        }
         self.runtime.backlog.push_first(Work::Connection(key));
         self.clients.queue_turn(&mut self.runtime, key);
     }
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -3,7 +3,7 @@
 
 use crate::config::Options;
 use crate::endpoints::directory::ConnectionKey;
-use crate::net::backlog::{Backlog, Work};
+use crate::net::backlog::{Backlog, TurnCounts, Work};
 use crate::net::client::connections::ClientConnections;
 use crate::net::connection_table::Connection;
 use crate::net::discovery::lease;
@@ -18,7 +18,7 @@
 use crate::net::timer_queue::{Deadline, TIMER_TOLERANCE_S};
 use crate::net::tokens::{connection_key, token, ADMIN, PROTOCOLS, RELOAD, SIGNALS, STORE, VRRP};
 use crate::net::{admin, handover, startup, store_peers, vrrp_socket};
-use crate::requests::coordinator::Command;
+use crate::requests::coordinator::{Command, Protocol};
 use mio::event::Event;
 use mio::{Events, Token};
 use slotmap::KeyData;
@@ -163,7 +163,8 @@
         stall_detector: &mut StallDetector,
     ) {
         self.begin_iteration(woke_at, stall_detector);
-        let had_backlog = self.has_backlog();
+        let turns = self.runtime.backlog.counts();
+        let pending_listeners = self.listeners.take_pending();
         // The admin interface is served first, so that client traffic cannot delay its replies.
         self.handle_admin_events(events);
         self.handle_client_disconnects(events);
@@ -183,10 +184,8 @@
             }
             self.process_commands();
         }
-        // Work of this iteration waits for the next poll, so that discovery and disconnects are read before its input.
-        if had_backlog {
-            self.reduce_backlog();
-        }
+        self.accept_pending(pending_listeners);
+        self.reduce_backlog(turns);
         self.advance_to_deadlines(woke_at, stall_detector);
         while let Some(deadline) = self.runtime.timers.next(self.runtime.now) {
             self.handle_deadline(deadline);
@@ -247,24 +246,32 @@
         !self.runtime.backlog.is_empty() || self.listeners.has_pending()
     }
 
-    /// Accepts clients that did not fit into the turn of their listener in the last iteration, and gives turns to the sources of
-    /// the backlog: first turns before further ones, and at least one of each kind.
-    fn reduce_backlog(&mut self) {
-        for protocol in self.listeners.take_pending() {
+    /// Accepts clients that did not fit into the turn of their listener in the last iteration.
+    fn accept_pending(&mut self, pending: Vec<Protocol>) {
+        for protocol in pending {
             self.accept(protocol);
             self.process_commands();
         }
-        self.run_turns(MAX_FIRST_TURNS_S, Backlog::pop_first);
-        self.run_turns(MAX_FURTHER_TURNS_S, Backlog::pop);
+    }
+
+    /// Gives turns to the sources of the backlog: first turns before further ones, and at least one of each kind. `turns` are the
+    /// numbers of sources at the poll: what was queued since waits for the next one, so that discovery and disconnects are read
+    /// before its input.
+    fn reduce_backlog(&mut self, turns: TurnCounts) {
+        self.run_turns(turns.first, MAX_FIRST_TURNS_S, Backlog::pop_first);
+        self.run_turns(turns.further, MAX_FURTHER_TURNS_S, Backlog::pop);
         if !self.runtime.backlog.is_empty() {
             self.runtime.loop_metrics.count_full_backlog();
         }
     }
 
-    /// Gives turns to the sources that `next` returns, until `max_s` have passed.
-    fn run_turns(&mut self, max_s: f64, next: impl Fn(&mut Backlog) -> Option<Work>) {
+    /// Gives turns to up to `count` sources that `next` returns, until `max_s` have passed.
+    fn run_turns(&mut self, count: usize, max_s: f64, next: impl Fn(&mut Backlog) -> Option<Work>) {
         let end_at = self.runtime.clock.now() + max_s;
-        while let Some(work) = next(&mut self.runtime.backlog) {
+        for _ in 0..count {
+            let Some(work) = next(&mut self.runtime.backlog) else {
+                return;
+            };
             self.run_turn(work);
             self.process_commands();
             if self.runtime.clock.now() > end_at {
