Input that waits for a turn keeps the time at which it may have arrived

Cause: an event that an iteration put off because it had taken 4 ms, and a connection left in the accept queue, were handled in the next iteration, whose 'previous poll' is after the stop, so that the time in the stop was not taken off the query's timeout. Change: both keep the earliest time at which their input may have arrived.

--- a/src/net/client/connections.rs
+++ b/src/net/client/connections.rs
@@ -349,6 +349,13 @@
         }
     }
 
+    /// Sets the earliest time since which the client's input may have waited.
+    pub(super) fn set_waits_since(&self, runtime: &mut Runtime, key: ConnectionKey, since: f64) {
+        if let Some(client) = client_mut(&mut runtime.connections, key) {
+            client.waits_since = since;
+        }
+    }
+
     /// Returns the earliest time since which the client's input may have waited for a turn; `f64::MAX` if it has not.
     pub(super) fn waits_since(&self, runtime: &Runtime, key: ConnectionKey) -> f64 {
         match runtime.connections.get(key) {
--- a/src/net/client/reading.rs
+++ b/src/net/client/reading.rs
@@ -94,8 +94,16 @@
             return;
         };
         client.may_have_input = true;
-        client.waits_since = client.waits_since.min(runtime.previous_iteration_at);
         runtime.backlog.push(Work::Connection(key));
+        self.begin_wait(runtime, key);
+    }
+
+    /// Records that input of the client, which may have arrived right after the previous poll, waits for a turn.
+    pub(in crate::net) fn begin_wait(&self, runtime: &mut Runtime, key: ConnectionKey) {
+        let since = runtime.previous_iteration_at;
+        if let Some(client) = client_mut(&mut runtime.connections, key) {
+            client.waits_since = client.waits_since.min(since);
+        }
     }
 
     /// Records that a client in state `Reading` has no more input for now.
--- a/src/net/client/routing.rs
+++ b/src/net/client/routing.rs
@@ -42,8 +42,15 @@
     /// next iteration.
     pub(in crate::net) fn accept(&mut self, protocol: Protocol) {
         let end_at = self.runtime.clock.now() + MAX_ACCEPT_S;
+        let queued_since = self
+            .listeners
+            .queued_since()
+            .min(self.runtime.previous_iteration_at);
         if self.accept_until(end_at, protocol) {
             self.listeners.set_pending(protocol);
+            self.listeners.set_queued_since(queued_since);
+        } else {
+            self.listeners.set_queued_since(f64::MAX);
         }
     }
 
@@ -101,6 +108,9 @@
             .clients
             .insert(&mut self.runtime, stream, protocol, conditions);
         self.clients.schedule_deadline(&mut self.runtime, key);
+        let queued_since = self.listeners.queued_since();
+        self.clients
+            .set_waits_since(&mut self.runtime, key, queued_since);
         Some(key)
     }
 
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -237,6 +237,7 @@
         let is_connection = token(key) == event.token();
         if is_connection && self.runtime.clock.now() > woke_at + MAX_EVENTS_S {
             self.runtime.backlog.push_first(Work::Connection(key));
+            self.clients.begin_wait(&mut self.runtime, key);
         } else {
             self.handle_event(event);
         }
--- a/src/net/listeners.rs
+++ b/src/net/listeners.rs
@@ -18,6 +18,8 @@
     open: [Option<TcpListener>; 2],
     /// Protocols whose accept queue may hold more connections than one turn has accepted.
     pending: Vec<Protocol>,
+    /// Earliest time at which connections that are left in an accept queue may have arrived (seconds); `f64::MAX` if none is left.
+    queued_since: f64,
     /// Address of each listener; `None` for a protocol that is off and for an inherited listener.
     addresses: [Option<SocketAddr>; 2],
 }
@@ -31,6 +33,7 @@
         Listeners {
             open,
             pending: Vec::new(),
+            queued_since: f64::MAX,
             addresses,
         }
     }
@@ -47,6 +50,16 @@
         }
     }
 
+    /// Records the earliest time at which the connections in the accept queues may have arrived. `f64::MAX` if none was left.
+    pub(super) fn set_queued_since(&mut self, since: f64) {
+        self.queued_since = since;
+    }
+
+    /// Returns the earliest time at which the connections in the accept queues may have arrived.
+    pub(super) fn queued_since(&self) -> f64 {
+        self.queued_since
+    }
+
     /// Returns whether an accept queue may hold more connections.
     pub(super) fn has_pending(&self) -> bool {
         !self.pending.is_empty()
