ReadProgress and the end of an idle client stand once

Second reading of the change: the same enum stood in the pool of leaf servers and in the store's peers, the same choice twice in connections.rs.

--- a/src/net/backlog.rs
+++ b/src/net/backlog.rs
@@ -10,6 +10,15 @@
 /// Maximum number of connections that are accepted in one turn from a listener for other processes than clients.
 pub(in crate::net) const MAX_ACCEPTS_PER_TURN: usize = 32;
 
+/// Whether the socket was read to its end in a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadProgress {
+    /// No more input is available.
+    Drained,
+    /// More input may be available; the connection needs another turn.
+    MoreInput,
+}
+
 /// A source of input that may have more of it than one turn handles.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(in crate::net) enum Work {
--- a/src/net/client/connections.rs
+++ b/src/net/client/connections.rs
@@ -415,6 +415,14 @@
         if !client.is_idle() || !(client.is_idle_after_response() || has_min_age) {
             return;
         }
+        self.end_idle(runtime, key);
+    }
+
+    /// Ends the connection of an idle client, once its unread input is read.
+    fn end_idle(&mut self, runtime: &mut Runtime, key: ConnectionKey) {
+        let Some(client) = client_mut(&mut runtime.connections, key) else {
+            return;
+        };
         if client.may_have_input {
             client.closes_when_idle = true;
         } else {
@@ -429,13 +437,8 @@
                 continue;
             };
             client.closes_after_response = true;
-            if !client.is_idle() {
-                continue;
-            }
-            if client.may_have_input {
-                client.closes_when_idle = true;
-            } else {
-                self.linger(runtime, key);
+            if client.is_idle() {
+                self.end_idle(runtime, key);
             }
         }
     }
--- a/src/net/replica/answers.rs
+++ b/src/net/replica/answers.rs
@@ -4,7 +4,7 @@
 
 use crate::decisions::api::Outcome;
 use crate::endpoints::directory::WireFormat;
-use crate::net::backlog::MAX_READS_PER_TURN;
+use crate::net::backlog::{ReadProgress, MAX_READS_PER_TURN};
 use crate::net::client::opensearch::{self, LeafAnswer};
 use crate::net::http::HttpError;
 use crate::net::replica::connection::{
@@ -20,15 +20,6 @@
 /// Maximum number of answers in a row that belong to no part in flight. Each of the recent parts may be answered late or twice.
 const MAX_IGNORED_ANSWERS: usize = 4 * MAX_RECENT_PARTS;
 
-/// Whether the socket was read to its end in a turn.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReadProgress {
-    /// No more input is available.
-    Drained,
-    /// More input may be available; the connection needs another turn.
-    MoreInput,
-}
-
 impl ReplicaConnection {
     /// Reads the answers of one turn, and adds the attempts that ended to `results`. An error means that the connection is to
     /// be closed.
--- a/src/net/replica/events.rs
+++ b/src/net/replica/events.rs
@@ -2,9 +2,8 @@
 //! gets exactly one outcome, also when the connection ends.
 
 use crate::decisions::api::ReplicaId;
-use crate::net::backlog::Work;
+use crate::net::backlog::{ReadProgress, Work};
 use crate::net::connection_table::Connection;
-use crate::net::replica::answers::ReadProgress;
 use crate::net::replica::connection::AttemptResult;
 use crate::net::replica::error::ReplicaError;
 use crate::net::replica::pool::{connections_to, max_idle_s, max_silence_s, ReplicaConnections};
--- a/src/net/replica/mod.rs
+++ b/src/net/replica/mod.rs
@@ -11,5 +11,5 @@
 mod send_queue;
 mod sending;
 
-pub use answers::ReadProgress;
+pub use crate::net::backlog::ReadProgress;
 pub use error::ReplicaError;
--- a/src/net/store_peers.rs
+++ b/src/net/store_peers.rs
@@ -9,7 +9,7 @@
 pub(in crate::net) use contents::StoredChange;
 
 use crate::config::StoreSetup;
-use crate::net::backlog::Work;
+use crate::net::backlog::{ReadProgress, Work};
 use crate::net::connection_table::Connection;
 use crate::net::error::NetError;
 use crate::net::runtime::Runtime;
@@ -18,7 +18,7 @@
 use crate::net::tokens::STORE;
 use crate::net::ConnectionKey;
 use crate::store::{Completed, Message, Operation, OperationSetup, Progress};
-use connection::{Direction, ReadProgress};
+use connection::Direction;
 use miniserde::json;
 use mio::net::{TcpListener, TcpStream};
 use std::collections::{BTreeMap, VecDeque};
--- a/src/net/store_peers/connection.rs
+++ b/src/net/store_peers/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to or from a peer of the store, which exchanges encoded messages.
 
-use crate::net::backlog::MAX_READS_PER_TURN;
+use crate::net::backlog::{ReadProgress, MAX_READS_PER_TURN};
 use crate::net::socket::{is_connected, write_available};
 use crate::store::{Message, MAX_MESSAGE_BYTES};
 use mio::net::TcpStream;
@@ -34,15 +34,6 @@
     received_at: f64,
 }
 
-/// Whether the socket was read to its end in a turn.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ReadProgress {
-    /// No more input is available.
-    Drained,
-    /// More input may be available; the connection needs another turn.
-    MoreInput,
-}
-
 impl PeerConnection {
     /// Creates a connection whose attempt to connect is in progress.
     pub(super) fn to(node: u32, stream: TcpStream, now: f64) -> PeerConnection {
