Review 2, case 7: a successor started right after SIGHUP runs fragile parts twice

A successor uses the new file at once, while clients follow the former settings until 1.2 s after SIGHUP. Graver than the stalled successor, which was case 7 before and stays as a trial beside the new one, second-copy. Change: review/7 with its new claim and script, and the programs of the case and the trial.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-2/driver ] || { echo "run review/build-2.sh first"; exit 2; }
-exec target/review-2/driver stalled-successor "$folder"
+exec target/review-2/driver successor-settings "$folder"
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,14 +1,16 @@
-//! Runs one case of the second review: `driver CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not
+//! Runs one case or trial of the second review: `driver NAME FOLDER`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not
 //! run. `record.txt` in the folder says what was sent, answered and run.
 
 mod harness;
 mod late_precheck;
 mod rollback;
 mod search_upgrade;
+mod second_copy;
 mod seize;
 mod settings_gap;
 mod stalled_successor;
 mod store_restart;
+mod successor_settings;
 
 use harness::{end_all, has_trouble, now, sleep, Record};
 use std::path::PathBuf;
@@ -46,6 +48,8 @@
         "stalled-successor" => stalled_successor::run,
         "search-upgrade" => search_upgrade::run,
         "late-precheck" => late_precheck::run,
+        "second-copy" => second_copy::run,
+        "successor-settings" => successor_settings::run,
         "seize" => seize::run,
         "settings-gap" => settings_gap::run,
         "store-restart" => store_restart::run,
