--- a/review/stand-ins-2/harness.rs
+++ b/review/stand-ins-2/harness.rs
@@ -219,6 +219,8 @@
 /// An attempt that a leaf server has received whole.
 #[derive(Clone, Debug)]
 pub struct Attempt {
+    /// Name of the leaf server.
+    pub leaf: String,
     pub part: String,
     pub text: String,
     pub options: String,
@@ -286,6 +288,7 @@
             let text = String::from_utf8_lossy(&rest[end + 1..end + 1 + count]).into_owned();
             rest = &rest[end + 1 + count..];
             let attempt = Attempt {
+                leaf: name.to_string(),
                 part: words[0].to_string(),
                 text,
                 options: words[2].to_string(),
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -8,6 +8,7 @@
 mod second_copy;
 mod seize;
 mod settings_gap;
+mod split_members;
 mod stalled_successor;
 mod store_restart;
 mod successor_settings;
@@ -50,6 +51,7 @@
         "late-precheck" => late_precheck::run,
         "second-copy" => second_copy::run,
         "successor-settings" => successor_settings::run,
+        "split-members" => split_members::run,
         "seize" => seize::run,
         "settings-gap" => settings_gap::run,
         "store-restart" => store_restart::run,
--- a/review/stand-ins-2/settings_gap.rs
+++ b/review/stand-ins-2/settings_gap.rs
@@ -14,7 +14,7 @@
     pub attempts: Attempts,
     pub clients: Vec<SocketAddr>,
     stores: Vec<SocketAddr>,
-    members: [String; 2],
+    pub members: [String; 2],
     settings: String,
     has_folders: bool,
     record: Record,
