Review 2: a script that is told to end ends its mixers

Cause: run.sh replaced itself by the driver, so that the mixers stayed where a caller ended the script from outside.

--- a/review/stand-ins-2/harness.rs
+++ b/review/stand-ins-2/harness.rs
@@ -46,6 +46,16 @@
     let _ = Command::new("sh").args(["-c", &line]).status();
 }
 
+/// Appends the id of a process to the file that `REVIEW_IDS` names, so that the script can end it where it is told to end itself.
+fn note_id(id: u32) {
+    let Ok(path) = std::env::var("REVIEW_IDS") else {
+        return;
+    };
+    if let Ok(mut file) = fs::OpenOptions::new().append(true).open(path) {
+        let _ = writeln!(file, "{id}");
+    }
+}
+
 /// What was sent, answered and run, written to `record.txt`.
 #[derive(Clone, Default)]
 pub struct Record(Arc<Mutex<String>>);
@@ -149,6 +159,7 @@
         }
         let child = command.spawn().expect("the program starts");
         STARTED.lock().expect("ids").push(child.id());
+        note_id(child.id());
         record.add(format!("{}: started", start.label));
         Mixer {
             label: start.label.to_string(),
