While the store is unread no part that may have run is sent again

A mixer that was down while settings were written to the store starts again, is ready, and sends parts of a class that is fragile by the store up to four times; their queries get 429, which promises that nothing ran. Cause: there was no state for a store that has not been read. The file or folder was taken for what binds, and settings that were read first were applied 1 s later, like a file at SIGHUP, although others may have followed them for long. Ruled out: waiting with 'ok ready' for the first read. It costs time, and without a quorum it could not wait for ever. Change: SettingsSchedule (now requests/, without I/O) knows whether the store was read. Until then, and from a failed read to the next good one, the settings lose each permission that the store's may lack: retries after attempts that may have run, hedged requests, refusals after such attempts. Settings that are read first are applied at once, and this holds for 1.25 s more. Requests that only the store's settings may allow get 503 until then. Idempotency keys are forwarded meanwhile. Tests: the schedule's tests moved with it; their fixture starts it long before, their assertions are unchanged.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -8,12 +8,12 @@
 mod sections;
 mod transition;
 
-pub use transition::EffectChange;
+pub use transition::{EffectChange, Uncertainty};
 
 use super::bounds::{check_choice, check_range};
 use super::fault;
 use super::SettingsError;
-use crate::decisions::api::Settings;
+use crate::decisions::api::{Effect, Settings};
 use crate::decisions::two_phase::TwoPhaseSettings;
 use classes::CategoryJson;
 use miniserde::Deserialize;
@@ -55,8 +55,13 @@
     pub connection_idle_s: f64,
     /// Configuration of the pre-check phases. No class has them if its list of classes is empty.
     pub phases: TwoPhaseSettings,
+    /// Effects of the classes by these settings, in the module's order, by which clients form their requests. The effects in
+    /// `policy` are stricter while clients may follow other settings.
+    pub declared_effects: Vec<Effect>,
     /// Classes whose effect is changing, by index. They are not idempotent until all clients follow the new settings.
     pub effect_changes: BTreeMap<usize, EffectChange>,
+    /// Reason why clients may follow settings that this mixer does not know, if there is one.
+    pub uncertainty: Option<Uncertainty>,
 }
 
 /// JSON form of the settings. Unknown keys are ignored.
@@ -153,6 +158,7 @@
         let connection_idle_s = permissions.connection_idle_s.filter(|time| *time > 0.0);
         Ok(Deployment {
             phases: phases.two_phase_settings(&categories, &policy.classes)?,
+            declared_effects: policy.classes.iter().map(|class| class.effect).collect(),
             policy,
             classes: categories.into_iter().map(CategoryJson::name).collect(),
             tenants: tenants.into_iter().map(TenantJson::name).collect(),
@@ -163,6 +169,7 @@
             connect_timeout_s: connect_timeout_s.unwrap_or(CONNECT_TIMEOUT_S),
             connection_idle_s: connection_idle_s.unwrap_or(CONNECTION_IDLE_S),
             effect_changes: BTreeMap::new(),
+            uncertainty: None,
         })
     }
 
--- a/src/net/client/opensearch/error.rs
+++ b/src/net/client/opensearch/error.rs
@@ -2,6 +2,7 @@
 //!
 //! Statuses, types and texts are part of the API.
 
+use crate::config::Deployment;
 use crate::net::client::connection_error::ConnectionError;
 use std::fmt;
 use std::str::Utf8Error;
@@ -68,6 +69,9 @@
     InvalidId { id: String },
     #[error("X-Tenant-Id names no tenant")]
     UnknownTenant,
+    /// The store, which has not been read, may hold settings by which the request is valid.
+    #[error("the settings in the store have not been read yet")]
+    SettingsUnread,
 }
 
 impl SearchError {
@@ -77,10 +81,26 @@
             SearchError::Connection(error) => error.status(),
             SearchError::MethodNotAllowed { .. } => 405,
             SearchError::UnknownIndex { .. } => 404,
+            SearchError::SettingsUnread => 503,
             _ => 400,
         }
     }
 
+    /// Returns the error to send while the settings in use may be outdated: a request that other settings may allow is refused, so
+    /// that its client tries again.
+    pub(super) fn by_settings(self, deployment: &Deployment) -> SearchError {
+        match self {
+            SearchError::UnknownIndex { .. }
+            | SearchError::WrongOperation { .. }
+            | SearchError::UnknownTenant
+                if deployment.is_store_unread() =>
+            {
+                SearchError::SettingsUnread
+            }
+            error => error,
+        }
+    }
+
     /// Returns the error type in the API, such as `parsing_exception`.
     pub(super) fn kind(&self) -> &'static str {
         match self {
@@ -93,6 +113,7 @@
             },
             SearchError::MethodNotAllowed { .. } => "method_not_allowed_exception",
             SearchError::UnknownIndex { .. } => "index_not_found_exception",
+            SearchError::SettingsUnread => "rejected_execution_exception",
             SearchError::BodyNotAnObject | SearchError::UnknownField { .. } => "parsing_exception",
             _ => "illegal_argument_exception",
         }
--- a/src/net/client/opensearch/request.rs
+++ b/src/net/client/opensearch/request.rs
@@ -118,6 +118,7 @@
         });
     };
     parse_query(message, deployment, &target, id, default_tenant)
+        .map_err(|error| error.by_settings(deployment))
 }
 
 /// Returns the index and operation for a path, or `None` if the path is unknown or does not allow the method.
@@ -174,8 +175,8 @@
         .filter(|text| text.len() <= MAX_OPAQUE_ID_BYTES);
     let context = SearchContext::new(target, &options, opaque, deployment);
     let timeout_s = options.timeout_s.unwrap_or(settings.deadline_s);
-    let has_key =
-        settings.effect == Effect::IdempotentWithKey || deployment.is_effect_changing(class);
+    let has_key = deployment.declared_effects[class] == Effect::IdempotentWithKey
+        || deployment.forwards_any_key(class);
     let query_request = QueryRequest {
         id,
         protocol: Protocol::Search,
@@ -212,7 +213,7 @@
         .ok_or_else(|| SearchError::UnknownIndex {
             index: target.index.to_string(),
         })?;
-    let supported = match deployment.policy.classes[class].effect {
+    let supported = match deployment.declared_effects[class] {
         Effect::Idempotent => OperationKind::Search,
         Effect::IdempotentWithKey | Effect::NonIdempotent => OperationKind::Create,
     };
--- a/src/net/client/platform.rs
+++ b/src/net/client/platform.rs
@@ -120,6 +120,9 @@
     NoParts,
     #[error("fractions that do not add up to 1")]
     InvalidWeightSum,
+    /// The store, which has not been read, may hold settings by which the request is valid.
+    #[error("the settings in the store have not been read yet")]
+    SettingsUnread,
 }
 
 impl PlatformError {
@@ -129,10 +132,26 @@
             PlatformError::MethodNotAllowed => 405,
             PlatformError::UnknownClass => 404,
             PlatformError::RequestIdInUse => 409,
+            PlatformError::SettingsUnread => 503,
             _ => 400,
         }
     }
 
+    /// Returns the error to send while the settings in use may be outdated: a request that other settings may allow is refused, so
+    /// that its client tries again.
+    fn by_settings(self, deployment: &Deployment) -> PlatformError {
+        match self {
+            PlatformError::UnknownClass
+            | PlatformError::UnknownTenant
+            | PlatformError::MissingIdempotencyKey
+                if deployment.is_store_unread() =>
+            {
+                PlatformError::SettingsUnread
+            }
+            error => error,
+        }
+    }
+
     /// Serializes the error response, which announces the end of the connection.
     pub(super) fn response(&self) -> Vec<u8> {
         render_error(self.status(), &self.to_string(), &[], true)
@@ -159,7 +178,8 @@
     match method.as_str() {
         "GET" | "PUT" if path.starts_with("/-/") => Ok(PlatformRequest::Page),
         "POST" => {
-            let query_request = parse_query(message, path, deployment)?;
+            let query_request = parse_query(message, path, deployment)
+                .map_err(|error| error.by_settings(deployment))?;
             Ok(PlatformRequest::Query(Box::new(query_request)))
         }
         _ => Err(PlatformError::MethodNotAllowed),
@@ -201,11 +221,7 @@
         is_client_retry: message.header("x-retried") == Some("1"),
         timeout_s,
         timeout_uncertainty_s: 0.0,
-        document_id: document_id(
-            id,
-            idempotency_key.as_deref(),
-            deployment.effect_of_request_without_key(class),
-        ),
+        document_id: document_id(id, idempotency_key.as_deref(), deployment, class),
         idempotency_key,
         routing: None,
         shard_count: deployment.shards,
@@ -255,8 +271,8 @@
     }
 }
 
-/// Returns the idempotency key for a class that requires one. For other classes the key is validated and ignored. A class whose
-/// effect is changing may have a key.
+/// Returns the idempotency key for a class that requires one. For other classes the key is validated, and ignored unless the client
+/// may follow settings that require it. A class whose effect is changing may have a key.
 fn parse_idempotency_key(
     message: &Message,
     deployment: &Deployment,
@@ -269,8 +285,9 @@
     if deployment.is_effect_changing(class) {
         return Ok(key.map(String::from));
     }
-    if deployment.policy.classes[class].effect != Effect::IdempotentWithKey {
-        return Ok(None);
+    if deployment.declared_effects[class] != Effect::IdempotentWithKey {
+        let is_forwarded = deployment.forwards_any_key(class);
+        return Ok(key.filter(|_| is_forwarded).map(String::from));
     }
     match key {
         Some(key) => Ok(Some(key.to_string())),
@@ -279,15 +296,19 @@
 }
 
 /// Returns the id of the document that a query creates at leaf servers of the search API: the idempotency key or, in a class
-/// without one, the request id, which every request has for itself. Returns `None` for a search.
+/// without one, the request id, which every request has for itself. Returns `None` for a search, which stays one if it has a key
+/// although its class requires none.
 fn document_id(
     request_id: &str,
     idempotency_key: Option<&str>,
-    effect_without_key: Effect,
+    deployment: &Deployment,
+    class: usize,
 ) -> Option<String> {
+    let effect_without_key = deployment.effect_of_request_without_key(class);
     match (idempotency_key, effect_without_key) {
+        (Some(key), _) if deployment.is_effect_changing(class) => Some(key.to_string()),
+        (_, Effect::Idempotent) => None,
         (Some(key), _) => Some(key.to_string()),
-        (None, Effect::Idempotent) => None,
         (None, Effect::IdempotentWithKey | Effect::NonIdempotent) => Some(request_id.to_string()),
     }
 }
--- a/src/net/operator_routing.rs
+++ b/src/net/operator_routing.rs
@@ -21,6 +21,7 @@
 };
 use crate::net::vrrp_socket::{VrrpChange, VrrpReceived, VrrpSocket};
 use crate::net::ConnectionKey;
+use crate::requests::settings_schedule::{DueSettings, Origin};
 use crate::store::StoreError;
 use crate::vrrp::Event;
 use std::net::SocketAddr;
@@ -225,7 +226,11 @@
                 let body = format!("{{\"error\":\"{}\"}}", StoreError::NoMajority);
                 self.respond_from_store(client, 504, &body);
             }
-            Some(Requester::Refresh) => store.log_quorum(&mut self.runtime, Quorum::Lost),
+            Some(Requester::Refresh) => {
+                store.log_quorum(&mut self.runtime, Quorum::Lost);
+                self.reload.store_lost();
+                self.apply_due_settings();
+            }
         }
         self.next_store_operation();
     }
@@ -267,11 +272,21 @@
                 }
             }
         }
-        let Some(value) = completed.value else { return };
+        let is_settings = StorePeers::is_settings_key(&completed.key);
+        if let Some(value) = completed.value {
+            self.apply_stored_value(&completed.key, value);
+        }
+        if is_settings {
+            self.reload.store_read(self.runtime.now);
+            self.apply_due_settings();
+        }
+    }
+
+    fn apply_stored_value(&mut self, key: &str, value: String) {
         let change = self
             .store
             .as_mut()
-            .and_then(|store| store.take_value(&completed.key, value));
+            .and_then(|store| store.take_value(key, value));
         if let Some(change) = change {
             self.apply_stored(change);
         }
@@ -295,7 +310,7 @@
             }
             StoredChange::Settings(deployment) => {
                 self.runtime.log("store: new settings");
-                self.accept_settings(*deployment);
+                self.accept_settings(*deployment, Origin::Store);
             }
             StoredChange::InvalidSettings(error) => self.runtime.log(&format!(
                 "store: settings rejected, the old ones stay in use: {error}"
@@ -322,7 +337,7 @@
         };
         // Settings stored by the operators take precedence over the file.
         if !self.has_stored_settings() {
-            self.accept_settings(*deployment);
+            self.accept_settings(*deployment, Origin::Signal);
         }
         match discovery {
             Some(address) => self.change_discovery(address),
@@ -330,25 +345,29 @@
         }
     }
 
-    /// Accepts valid settings, which are applied after a short delay.
-    pub(super) fn accept_settings(&mut self, deployment: Deployment) {
-        self.reload.accept_settings(&mut self.runtime, deployment);
+    /// Accepts valid settings, and restricts the rules in use to what they allow where clients may follow them already.
+    fn accept_settings(&mut self, deployment: Deployment, origin: Origin) {
+        self.reload
+            .accept_settings(&mut self.runtime, deployment, origin);
+        self.apply_due_settings();
     }
 
-    /// Applies each of the accepted settings that are due, and ends restrictions that are over.
+    /// Applies each of the accepted settings that are due, and begins and ends restrictions.
     pub(super) fn apply_due_settings(&mut self) {
-        while let Some(deployment) = self.reload.take_due_settings(&self.runtime) {
-            self.apply_settings(deployment);
+        while let Some(due) = self.reload.take_due_settings(&self.runtime) {
+            self.apply_settings(due);
         }
+        self.reload.schedule_next_change(&mut self.runtime);
     }
 
-    fn apply_settings(&mut self, deployment: Rc<Deployment>) {
-        self.runtime.directory.set_zones(deployment.zones.clone());
-        self.runtime.deployment = deployment.clone();
-        self.discovery
-            .set_drain_grace(deployment.policy.drain_grace_s);
+    fn apply_settings(&mut self, due: DueSettings) {
+        let zones = due.deployment.zones.clone();
+        self.runtime.directory.set_zones(zones);
+        let former = std::mem::replace(&mut self.runtime.deployment, due.deployment);
+        let drain_grace_s = self.runtime.deployment.policy.drain_grace_s;
+        self.discovery.set_drain_grace(drain_grace_s);
         self.publish_lease();
-        reload::apply_settings(&mut self.runtime, deployment);
+        reload::apply_settings(&mut self.runtime, &former, due.are_new);
     }
 }
 
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -1,17 +1,14 @@
 //! Reload of the configuration on SIGHUP: the settings and the address of discovery. An invalid configuration changes nothing,
 //! and requests and client connections are not affected.
 
-mod settings_schedule;
-
-use crate::config::{Config, Deployment, KeyPaths};
+use crate::config::{Config, Deployment, KeyPaths, Uncertainty};
 use crate::net::runtime::Runtime;
 use crate::net::timer_queue::{Deadline, TIMER_TOLERANCE_S};
+use crate::requests::settings_schedule::{DueSettings, Origin, SettingsSchedule};
 use mio::net::UnixStream;
-use settings_schedule::SettingsSchedule;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::rc::Rc;
 
 /// The configuration file and the results of reloading it.
 pub(super) struct Reload {
@@ -21,8 +18,10 @@
     config_path: PathBuf,
     /// Keys of the file that was accepted last.
     key_paths: KeyPaths,
-    /// Settings that are accepted but not applied yet.
+    /// The settings in use, and those that come into force soon.
     schedule: SettingsSchedule,
+    /// Time of the last timer that was set for a change of the settings in use (seconds).
+    next_change_at: Option<f64>,
     /// Address of discovery in the file that was accepted last; the environment may override it.
     file_discovery: Option<SocketAddr>,
     /// Number of files that were accepted on SIGHUP.
@@ -51,12 +50,14 @@
         config_path: PathBuf,
         key_paths: KeyPaths,
         file_discovery: Option<SocketAddr>,
+        schedule: SettingsSchedule,
     ) -> Reload {
         Reload {
             signals,
             config_path,
             key_paths,
-            schedule: SettingsSchedule::default(),
+            schedule,
+            next_change_at: None,
             file_discovery,
             accepted: 0,
             rejected: 0,
@@ -105,42 +106,94 @@
         while matches!(self.signals.read(&mut buffer), Ok(count) if count > 0) {}
     }
 
-    /// Accepts valid settings. They are applied after a delay, because clients use the old names and rules until then.
-    pub(super) fn accept_settings(&mut self, runtime: &mut Runtime, deployment: Deployment) {
-        let now = runtime.now;
-        let times = self.schedule.accept(now, deployment, &runtime.deployment);
-        if let Some(times) = times {
-            for at in [times.apply_at, times.complete_at] {
-                runtime.timers.add(at, Deadline::ApplySettings);
-            }
+    /// Accepts valid settings and schedules their use.
+    pub(super) fn accept_settings(
+        &mut self,
+        runtime: &mut Runtime,
+        deployment: Deployment,
+        origin: Origin,
+    ) {
+        if self.schedule.accept(runtime.now, deployment, origin) {
             runtime.log("reload: new settings accepted; they are applied in 1 s");
         }
     }
 
+    /// Records that the store's settings were read from a majority of its nodes.
+    pub(super) fn store_read(&mut self, now: f64) {
+        self.schedule.store_read(now);
+    }
+
+    /// Records that the store could not be read.
+    pub(super) fn store_lost(&mut self) {
+        self.schedule.store_lost();
+    }
+
     /// Returns the settings to be used from now on, if they differ from those in use. Has to be called until it returns `None`.
-    pub(super) fn take_due_settings(&mut self, runtime: &Runtime) -> Option<Rc<Deployment>> {
+    pub(super) fn take_due_settings(&mut self, runtime: &Runtime) -> Option<DueSettings> {
         let due_by = runtime.now + TIMER_TOLERANCE_S;
         self.schedule.take_due(due_by, &runtime.deployment)
     }
+
+    /// Sets the timer of the next change of the settings in use, unless it is set.
+    pub(super) fn schedule_next_change(&mut self, runtime: &mut Runtime) {
+        let due_by = runtime.now + TIMER_TOLERANCE_S;
+        let Some(at) = self.schedule.next_change_at(due_by) else {
+            return;
+        };
+        let is_set = |set_at: f64| set_at > due_by && set_at <= at;
+        if !self.next_change_at.is_some_and(is_set) {
+            self.next_change_at = Some(at);
+            runtime.timers.add(at, Deadline::ApplySettings);
+        }
+    }
 }
 
-/// Applies new settings to the request coordinator.
-pub(super) fn apply_settings(runtime: &mut Runtime, deployment: Rc<Deployment>) {
+/// Applies the settings of the runtime, which have replaced `former`, to the request coordinator. `are_new` is false if only
+/// restrictions have begun or ended.
+pub(super) fn apply_settings(runtime: &mut Runtime, former: &Deployment, are_new: bool) {
+    let deployment = runtime.deployment.clone();
     runtime
         .coordinator
         .reconfigure(runtime.now, deployment.clone(), &mut runtime.commands);
-    let classes = &deployment.classes;
-    runtime.log(&format!("reload: settings applied, classes {classes:?}"));
-    let changing: Vec<&String> = (0..classes.len())
-        .filter(|class| deployment.is_effect_changing(*class))
-        .map(|class| &classes[class])
+    if are_new {
+        let classes = &deployment.classes;
+        runtime.log(&format!("reload: settings applied, classes {classes:?}"));
+    }
+    log_restrictions(runtime, former);
+    if are_new {
+        log_phases(runtime);
+    }
+}
+
+/// Logs which parts are not retried for a time, and when that has ended.
+fn log_restrictions(runtime: &mut Runtime, former: &Deployment) {
+    let deployment = runtime.deployment.clone();
+    let changing: Vec<&String> = deployment
+        .effect_changes
+        .keys()
+        .map(|class| &deployment.classes[*class])
         .collect();
     if !changing.is_empty() {
         runtime.log(&format!(
             "reload: parts of {changing:?} that may have run are not retried until all clients use the new effect"
         ));
     }
-    log_phases(runtime);
+    if deployment.uncertainty != former.uncertainty {
+        log_uncertainty(runtime);
+    }
+}
+
+/// Logs whether parts that may have run are retried, and why not.
+fn log_uncertainty(runtime: &mut Runtime) {
+    runtime.log(match runtime.deployment.uncertainty {
+        Some(Uncertainty::UnknownAge) => {
+            "retries: not after attempts that may have run (clients may still follow former settings)"
+        }
+        Some(Uncertainty::StoreUnread) => {
+            "retries: not after attempts that may have run (the store's settings have not been read)"
+        }
+        None => "retries: as the settings allow",
+    });
 }
 
 /// Logs the classes for which two-phase queries are enabled, if any.
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -20,6 +20,7 @@
 use crate::net::tokens::{LISTENERS, PROTOCOLS, RELOAD, SIGNALS};
 use crate::net::{admin, handover};
 use crate::requests::coordinator::Coordinator;
+use crate::requests::settings_schedule::SettingsSchedule;
 use mio::net::{TcpListener, UnixStream};
 use mio::{Interest, Poll, Registry, Token};
 use slotmap::SlotMap;
@@ -43,9 +44,15 @@
     let vrrp = options.vrrp.take();
     // With VRRP the listeners are opened when the router becomes Active; with an inherited listener, after the takeover or its failure.
     let is_listening = vrrp.is_none() && inherited.is_none();
-    let mut mixer = build(options, signals, inherited.is_some(), is_listening)?;
+    let kind = StartupKind {
+        is_inheriting: inherited.is_some(),
+        is_listening,
+        has_store: store.is_some(),
+    };
+    let mut mixer = build(options, signals, kind)?;
     mixer.log_listeners();
     mixer.log_phases();
+    mixer.apply_due_settings();
     if let Some(address) = admin_address {
         mixer.open_admin_interface(address)?;
     }
@@ -76,29 +83,37 @@
     Ok(mixer)
 }
 
-/// Creates the subsystems in their initial states.
-fn build(
-    options: Options,
-    signals: Signals,
+/// The parts of the configuration on which the start depends.
+#[derive(Clone, Copy)]
+struct StartupKind {
+    /// The process inherits its listener, and may take over from a predecessor.
     is_inheriting: bool,
+    /// The listeners are opened at once.
     is_listening: bool,
-) -> Result<Mixer, NetError> {
+    /// The store is configured.
+    has_store: bool,
+}
+
+/// Creates the subsystems in their initial states.
+fn build(options: Options, signals: Signals, kind: StartupKind) -> Result<Mixer, NetError> {
     let poll = Poll::new()?;
     let addresses = [
-        Some(options.listen).filter(|_| !is_inheriting),
+        Some(options.listen).filter(|_| !kind.is_inheriting),
         options.search,
     ];
-    let open = open_listeners(poll.registry(), addresses, is_listening)?;
+    let open = open_listeners(poll.registry(), addresses, kind.is_listening)?;
     let stop = watch_pipe(poll.registry(), signals.stop, SIGNALS)?;
     let reload = watch_pipe(poll.registry(), signals.reload, RELOAD)?;
-    let max_connections = max_connections(options.max_sockets, is_inheriting);
+    let max_connections = max_connections(options.max_sockets, kind.is_inheriting);
     let setup = RuntimeSetup {
         name: options.name,
         seed: options.seed,
         max_connections,
         memory_bytes: options.max_memory_bytes,
     };
-    let mut runtime = build_runtime(poll, setup, options.deployment);
+    let deployment = Rc::new(options.deployment);
+    let mut runtime = build_runtime(poll, setup, deployment.clone());
+    let schedule = SettingsSchedule::new(runtime.now, deployment, kind.has_store);
     let discovery = DiscoveryClient::new(
         options.discovery,
         &runtime.deployment.policy,
@@ -122,6 +137,7 @@
             signals.config_path,
             options.key_paths,
             options.file_discovery,
+            schedule,
         ),
         admin: None,
         handover: None,
@@ -139,10 +155,9 @@
 }
 
 /// Creates the runtime and starts its clock.
-fn build_runtime(poll: Poll, setup: RuntimeSetup, deployment: Deployment) -> Runtime {
+fn build_runtime(poll: Poll, setup: RuntimeSetup, deployment: Rc<Deployment>) -> Runtime {
     let clock = Clock::start();
     let now = clock.now();
-    let deployment = Rc::new(deployment);
     Runtime {
         poll,
         name: setup.name,
--- a/src/net/store_peers.rs
+++ b/src/net/store_peers.rs
@@ -526,6 +526,11 @@
         change
     }
 
+    /// Returns whether a key is that of the settings.
+    pub(in crate::net) fn is_settings_key(key: &str) -> bool {
+        key == contents::SETTINGS
+    }
+
     /// Returns whether the store contains settings, which take precedence over the configuration file.
     pub(in crate::net) fn has_settings(&self) -> bool {
         self.applied.contains_key(contents::SETTINGS)
--- a/src/requests/coordinator.rs
+++ b/src/requests/coordinator.rs
@@ -482,7 +482,11 @@
         self.last_query_number = self.last_query_number.wrapping_add(1);
         let number = self.last_query_number;
         let timeout_s = deadline - now;
-        let pre_check_s = plan_pre_check(&mut self.phases, query_request, timeout_s);
+        // A pre-check sends a part a second time, which is not allowed while the class's effect is restricted.
+        let pre_check_s = match request.class_settings.effect {
+            Effect::Idempotent => plan_pre_check(&mut self.phases, query_request, timeout_s),
+            Effect::IdempotentWithKey | Effect::NonIdempotent => None,
+        };
         let pre_check_class = pre_check_class(&self.deployment, query_request.class);
         let pre_check = pre_check_s
             .zip(pre_check_class)
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -16,3 +16,4 @@
 mod recent_requests;
 pub mod request;
 pub mod response;
+pub mod settings_schedule;
--- a/src/requests/module_settings.rs
+++ b/src/requests/module_settings.rs
@@ -45,13 +45,14 @@
     Some((deployment.classes.len() + index) as u16)
 }
 
-/// Returns the state of the deployment's pre-check phases without any statistics.
+/// Returns the state of the deployment's pre-check phases without any statistics. A class keeps its phases, and with them what was
+/// learned, while its effect is restricted for a time.
 pub(super) fn new_phases(deployment: &Deployment) -> TwoPhasePlanner {
-    TwoPhasePlanner::new(
-        &deployment.phases,
-        &deployment.classes,
-        &deployment.policy.classes,
-    )
+    let mut classes = deployment.policy.classes.clone();
+    for (class, effect) in classes.iter_mut().zip(&deployment.declared_effects) {
+        class.effect = *effect;
+    }
+    TwoPhasePlanner::new(&deployment.phases, &deployment.classes, &classes)
 }
 
 /// Returns for each name its index among the former names.
--- a/src/net/reload/settings_schedule/tests.rs
+++ b/src/requests/settings_schedule/tests.rs
@@ -4,6 +4,9 @@
 use crate::config;
 use crate::decisions::api::Effect;
 
+/// Start of a process whose settings have been in force for long by the time 0 (seconds).
+const LONG_AGO: f64 = -100.0;
+
 /// A schedule and the settings in use.
 struct Fixture {
     schedule: SettingsSchedule,
@@ -12,21 +15,26 @@
 
 impl Fixture {
     fn new(current: Deployment) -> Fixture {
+        Fixture::started_at(LONG_AGO, current, false)
+    }
+
+    fn started_at(now: f64, current: Deployment, has_store: bool) -> Fixture {
+        let current = Rc::new(current);
         Fixture {
-            schedule: SettingsSchedule::default(),
-            current: Rc::new(current),
+            schedule: SettingsSchedule::new(now, current.clone(), has_store),
+            current,
         }
     }
 
     /// Accepts settings, and returns the time at which they are applied.
     fn accept(&mut self, now: f64, deployment: Deployment) -> Option<f64> {
-        let times = self.schedule.accept(now, deployment, &self.current)?;
-        Some(times.apply_at)
+        let is_new = self.schedule.accept(now, deployment, Origin::Signal);
+        is_new.then(|| self.schedule.waiting.back().expect("waiting").apply_at)
     }
 
     /// Applies the first settings that are due, and returns the name of their first class.
     fn apply(&mut self, now: f64) -> Option<String> {
-        self.current = self.schedule.take_due(now, &self.current)?;
+        self.current = self.schedule.take_due(now, &self.current)?.deployment;
         Some(self.current.classes[0].clone())
     }
 
@@ -143,3 +151,89 @@
     assert_eq!(fixture.effect(1.25), new_effect);
     assert_eq!(fixture.current.effect_of_request_without_key(0), new_effect);
 }
+
+/// Guards against settings that were written while a process was down, and are treated as if they had just been written once it
+/// reads them: their rules bind at once, and no part that may have run is retried while clients may follow either settings.
+#[test]
+fn settings_read_first_are_applied_at_once_and_without_repeats_for_a_time() {
+    let mut fixture = Fixture::started_at(0.0, settings_with_effect("hold", "retryable"), true);
+    assert_eq!(fixture.effect(0.0), Effect::NonIdempotent);
+    assert!(fixture.current.is_store_unread());
+    assert_eq!(fixture.effect(500.0), Effect::NonIdempotent);
+    let stored = settings_with_effect("late", "retryable");
+    assert!(fixture.schedule.accept(500.0, stored, Origin::Store));
+    fixture.schedule.store_read(500.0);
+    assert_eq!(fixture.effect(500.0), Effect::NonIdempotent);
+    assert_eq!(fixture.current.classes, ["late"]);
+    assert_eq!(fixture.effect(501.24), Effect::NonIdempotent);
+    assert_eq!(fixture.schedule.next_change_at(500.0), Some(501.25));
+    assert_eq!(fixture.effect(501.25), Effect::Idempotent);
+}
+
+/// Guards against a file that is applied at SIGHUP before the store was read, over the settings that the store has.
+#[test]
+fn settings_of_the_file_that_wait_are_not_applied_over_settings_read_first() {
+    let mut fixture = Fixture::started_at(0.0, settings("first"), true);
+    fixture.accept(0.0, settings("file"));
+    fixture
+        .schedule
+        .accept(0.5, settings("stored"), Origin::Store);
+    fixture.schedule.store_read(0.5);
+    assert_eq!(fixture.apply(0.5).as_deref(), Some("stored"));
+    fixture.apply(9.0);
+    assert_eq!(fixture.current.classes, ["stored"]);
+    assert_eq!(fixture.schedule.next_change_at(9.0), None);
+}
+
+/// The settings of a store that is lost may change unseen.
+#[test]
+fn nothing_is_repeated_from_the_loss_of_the_store_until_it_has_been_read_again() {
+    let mut fixture = Fixture::started_at(0.0, settings_with_effect("hold", "retryable"), true);
+    fixture.schedule.store_read(0.0);
+    assert_eq!(fixture.effect(2.0), Effect::Idempotent);
+    fixture.schedule.store_lost();
+    assert_eq!(fixture.effect(4.0), Effect::NonIdempotent);
+    fixture.schedule.store_read(9.0);
+    assert_eq!(fixture.effect(9.0), Effect::NonIdempotent);
+    assert_eq!(fixture.effect(10.25), Effect::Idempotent);
+}
+
+/// Guards against retries by the former settings after others follow a write to the store. A running process applies the write as
+/// at SIGHUP, but others may follow it from the first moment.
+#[test]
+fn a_written_effect_restricts_retries_from_its_acceptance_until_all_clients_use_it() {
+    let mut fixture = Fixture::new(settings_with_effect("hold", "retryable"));
+    let written = settings_with_effect("hold", "dedup");
+    assert!(fixture.schedule.accept(0.0, written, Origin::Store));
+    assert_eq!(fixture.effect(0.0), Effect::NonIdempotent);
+    assert_eq!(
+        fixture.current.effect_of_request_without_key(0),
+        Effect::Idempotent
+    );
+    assert_eq!(fixture.effect(1.0), Effect::NonIdempotent);
+    assert_eq!(fixture.effect(1.25), Effect::IdempotentWithKey);
+}
+
+/// Returns settings with a class of effect dedup and these limits.
+fn settings_with_limits(window_s: f64, attempts: u32, hedging: bool, floor: f64) -> Deployment {
+    let text = format!(
+        r#"{{"categories": [{{"name": "hold", "aimS": 0.1, "giveUpS": 0.5, "effect": "dedup", "windowS": {window_s}, "worth": 1}}],
+            "familyInfo": {{"floorByClass": [{floor}], "completeFrom": [{floor}]}},
+            "permissions": {{"sendCap": {attempts}, "secondCopies": {hedging}}}}}"#
+    );
+    config::decode(text.as_bytes()).expect("the settings are valid")
+}
+
+/// What only makes the process do less may be used while the store is unread: classes, deadlines, the number of attempts.
+#[test]
+fn settings_without_repeats_keep_their_classes_and_their_number_of_attempts() {
+    let settings = settings_with_limits(2.0, 4, true, 0.5);
+    let mut fixture = Fixture::started_at(0.0, settings.clone(), true);
+    assert_eq!(fixture.effect(0.0), Effect::NonIdempotent);
+    let current = &fixture.current;
+    assert!(!current.policy.can_hedge);
+    assert_eq!(current.policy.max_attempts, 4);
+    assert_eq!(current.classes, settings.classes);
+    assert_eq!(current.declared_effects, [Effect::IdempotentWithKey]);
+    assert!(current.forwards_any_key(0));
+}
