Until all clients follow new settings the stricter limits on attempts hold

Callers saw: a part of which the former settings allowed one attempt got four from 1.0 s after SIGHUP, while clients follow those settings up to 1.2 s. Change: the smaller number, the stricter budget and the higher floors hold up to 1.25 s, also between settings in use and those of the store that others may follow already. Before, on: settings-reload-attempts.txt fails ('a < HTTP/1.1 429' never comes, the part is sent again). After: passes, as do two cases of the unit test the_stricter_limits_hold_during_a_transition.

--- a/src/config/settings/transition.rs
+++ b/src/config/settings/transition.rs
@@ -2,7 +2,7 @@
 //! or ones that this mixer does not know.
 
 use super::Deployment;
-use crate::decisions::api::{ClassSettings, Effect};
+use crate::decisions::api::{ClassSettings, Effect, RetryBudget, Settings};
 
 /// A class's effect in the settings in use and in others, while some clients follow either.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,20 +41,19 @@
     }
 
     /// Restricts the rules to what `other` allows as well: a part of a class whose effect differs is not retried once it may have
-    /// run, and the shorter idempotency window holds.
+    /// run, and otherwise the smaller limits hold.
     fn restricted_by(
         mut self,
         other: &Deployment,
         change: impl Fn(Effect, Effect) -> EffectChange,
     ) -> Deployment {
+        restrict_attempts(&mut self.policy, &other.policy);
         for (index, name) in self.classes.iter().enumerate() {
             let Some(other_class) = other.class_settings(name) else {
                 continue;
             };
             let class = &mut self.policy.classes[index];
-            class.idempotency_window_s = class
-                .idempotency_window_s
-                .min(other_class.idempotency_window_s);
+            restrict_class(class, other_class);
             if class.effect != other_class.effect {
                 let change = change(self.declared_effects[index], other_class.effect);
                 self.effect_changes.entry(index).or_insert(change);
@@ -106,3 +105,28 @@
         self.uncertainty == Some(Uncertainty::StoreUnread)
     }
 }
+
+/// Restricts the limits on attempts that all classes share.
+fn restrict_attempts(policy: &mut Settings, other: &Settings) {
+    policy.max_attempts = policy.max_attempts.min(other.max_attempts);
+    policy.can_hedge &= other.can_hedge;
+    policy.retry_budget = smaller_budget(policy.retry_budget, other.retry_budget);
+}
+
+fn smaller_budget(own: Option<RetryBudget>, other: Option<RetryBudget>) -> Option<RetryBudget> {
+    let (Some(own), Some(other)) = (own, other) else {
+        return own.or(other);
+    };
+    Some(RetryBudget {
+        min_retries: own.min_retries.min(other.min_retries),
+        retries_per_accepted: own.retries_per_accepted.min(other.retries_per_accepted),
+        window_s: own.window_s.max(other.window_s),
+    })
+}
+
+/// Restricts the idempotency window, and the shares from which an answer may be given or called complete.
+fn restrict_class(class: &mut ClassSettings, other: &ClassSettings) {
+    class.idempotency_window_s = class.idempotency_window_s.min(other.idempotency_window_s);
+    class.min_partial_share = class.min_partial_share.max(other.min_partial_share);
+    class.complete_share = class.complete_share.max(other.complete_share);
+}
--- a/src/requests/settings_schedule/tests.rs
+++ b/src/requests/settings_schedule/tests.rs
@@ -224,6 +224,35 @@
     config::decode(text.as_bytes()).expect("the settings are valid")
 }
 
+/// Guards against limits that are exceeded while some clients follow the former settings and others the new ones.
+#[rstest::rstest]
+#[case::new_ones_stricter(
+    settings_with_limits(2.0, 4, true, 0.5),
+    settings_with_limits(1.0, 2, false, 0.75)
+)]
+#[case::former_ones_stricter(
+    settings_with_limits(1.0, 2, false, 0.75),
+    settings_with_limits(2.0, 4, true, 0.5)
+)]
+fn the_stricter_limits_hold_during_a_transition(
+    #[case] former: Deployment,
+    #[case] new: Deployment,
+) {
+    let mut fixture = Fixture::new(former);
+    fixture.accept(0.0, new.clone());
+    fixture.apply(1.0);
+    let policy = &fixture.current.policy;
+    let class = &policy.classes[0];
+    assert_eq!((class.idempotency_window_s, policy.max_attempts), (1.0, 2));
+    assert!(!policy.can_hedge);
+    assert_eq!(
+        (class.min_partial_share, class.complete_share),
+        (0.75, 0.75)
+    );
+    fixture.apply(1.25);
+    assert_eq!(*fixture.current, new);
+}
+
 /// What only makes the process do less may be used while the store is unread: classes, deadlines, the number of attempts.
 #[test]
 fn settings_without_repeats_keep_their_classes_and_their_number_of_attempts() {
