A successor goes on with the settings of its predecessor

A new file made a class retryable instead of fragile, SIGHUP came, and 0.2 s later an upgrade. The new process took over at once and sent parts up to four times, up to 1.2 s after SIGHUP, while clients follow the former rules. Cause: a successor used the file that it read at its start. The handed-over state held neither the settings in use nor those that wait in SettingsSchedule, so the predecessor's 1 s had no effect: at 1.0 s it applied the file, when it served nobody any more. Ruled out: only not retrying for a time after each takeover. It would cost every upgrade 1.25 s of retries, and classes that the new file lacks would be unknown early; it is what is left for predecessors of earlier releases. Change: the state has a key 'settings': in use, waiting and former ones, with durations in place of times, and the age of the file. The successor goes on with that schedule. It begins anew with its own settings where they differ, and reads its file again where the predecessor has read it since. The key is left out where there are none, so that such a state is written byte for byte as before.

--- a/src/config/configuration.rs
+++ b/src/config/configuration.rs
@@ -4,12 +4,12 @@
 use super::bounds::{check_range, MAX_COUNT, MAX_TIME_S};
 use super::key_paths::KeyPaths;
 use super::options::{Options, StoreSetup, VrrpSetup};
-use super::settings::{decode, from_json, Deployment, SettingsJson};
+use super::settings::{decode, from_json, DecodedSettings, SettingsJson};
 use super::yaml;
 use super::SettingsError;
 use crate::store::Registers;
 use crate::vrrp;
-use miniserde::json::Value;
+use miniserde::json::{self, Value};
 use miniserde::Deserialize;
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -98,6 +98,8 @@
 /// The decoded configuration of a mixer.
 pub struct Config {
     pub(super) json: ConfigJson,
+    /// JSON text of the key `settings`.
+    settings_text: String,
     /// Value of `discovery` in the file, before the environment overrides it.
     file_discovery: Option<String>,
     pub(super) key_paths: KeyPaths,
@@ -108,7 +110,7 @@
     /// Address of discovery, if the file sets it.
     pub discovery: Option<SocketAddr>,
     /// Settings of the deployment.
-    pub deployment: Deployment,
+    pub settings: DecodedSettings,
     /// Paths of the keys in the file.
     pub key_paths: KeyPaths,
 }
@@ -144,6 +146,7 @@
         let value: Value = from_json(text)?;
         Ok(Config {
             json,
+            settings_text: settings_text(&value),
             file_discovery,
             key_paths: KeyPaths::of(&value),
         })
@@ -166,7 +169,10 @@
         config.key_paths.check_includes(in_use)?;
         Ok(ReloadedConfig {
             discovery: optional_address(config.file_discovery.as_deref(), "discovery")?,
-            deployment: config.json.settings.deployment()?,
+            settings: DecodedSettings::new(
+                config.json.settings.deployment()?,
+                config.settings_text,
+            ),
             key_paths: config.key_paths,
         })
     }
@@ -203,6 +209,11 @@
         };
         let listen = json.listen.ok_or(SettingsError::Missing("listen"))?;
         let seed = json.seed.as_deref().unwrap_or_default();
+        // Settings that operators wrote to the store, and that its data folder holds, take precedence over the file.
+        let (deployment, settings_text) = match stored_settings(store.as_ref()) {
+            Some(text) => (decode(text.as_bytes())?, text.to_string()),
+            None => (json.settings.deployment()?, self.settings_text),
+        };
         Ok(Options {
             name: json.name.unwrap_or_else(|| DEFAULT_NAME.into()),
             listen: address(&listen, "listen")?,
@@ -214,7 +225,8 @@
             seed: u64::from_str_radix(seed, 16).unwrap_or(DEFAULT_SEED),
             max_sockets: limits.sockets(),
             max_memory_bytes: limits.memory_bytes(),
-            deployment: deployment(store.as_ref(), json.settings)?,
+            deployment,
+            settings_text,
             store,
             vrrp,
             known_list: json.known,
@@ -228,20 +240,18 @@
     }
 }
 
-/// Returns the deployment. Settings that operators wrote to the store, and that its data folder holds, take precedence over the
-/// file.
-fn deployment(
-    store: Option<&StoreSetup>,
-    settings: SettingsJson,
-) -> Result<Deployment, SettingsError> {
-    let (_, stored) = match store {
-        Some(store) => store.registers.get("settings"),
-        None => return settings.deployment(),
-    };
-    match stored {
-        Some(text) => decode(text.as_bytes()),
-        None => settings.deployment(),
+/// Returns the text of the settings in the store's data folder, if it holds any.
+fn stored_settings(store: Option<&StoreSetup>) -> Option<&str> {
+    let (_, text) = store?.registers.get("settings");
+    text
+}
+
+fn settings_text(configuration: &Value) -> String {
+    match configuration {
+        Value::Object(keys) => keys.get("settings").map(json::to_string),
+        _ => None,
     }
+    .unwrap_or_default()
 }
 
 fn address<T: std::str::FromStr>(text: &str, key: &'static str) -> Result<T, SettingsError> {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -14,5 +14,5 @@
 pub use fault::{JsonFault, Mismatch};
 pub use key_paths::KeyPaths;
 pub use options::{InheritedListener, Options, StoreSetup, VrrpSetup};
-pub use settings::{decode, Deployment, EffectChange, Uncertainty};
+pub use settings::{decode, DecodedSettings, Deployment, EffectChange, Uncertainty};
 pub use yaml::YamlError;
--- a/src/config/options.rs
+++ b/src/config/options.rs
@@ -45,6 +45,8 @@
     pub vrrp: Option<VrrpSetup>,
     /// Settings of the deployment.
     pub deployment: Deployment,
+    /// JSON text of the settings.
+    pub settings_text: String,
 }
 
 /// Client listener that the platform keeps open across processes of a mixer.
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -20,6 +20,7 @@
 use phases::PhasesJson;
 use sections::{FamilyJson, PermissionsJson, RulesJson, TenantJson};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 /// Default of [`Deployment::max_in_flight`].
 const MAX_IN_FLIGHT: u32 = 1000;
@@ -64,6 +65,38 @@
     pub uncertainty: Option<Uncertainty>,
 }
 
+/// Settings, and the JSON text from which another process of the mixer can decode them.
+#[derive(Clone, Debug)]
+pub struct DecodedSettings {
+    /// The decoded settings.
+    pub deployment: Rc<Deployment>,
+    /// JSON text of the settings.
+    pub text: Rc<str>,
+}
+
+impl DecodedSettings {
+    /// Joins settings with the text from which they were decoded.
+    pub fn new(deployment: Deployment, text: String) -> DecodedSettings {
+        DecodedSettings {
+            deployment: Rc::new(deployment),
+            text: text.into(),
+        }
+    }
+
+    /// Decodes settings from JSON text; an error names the invalid key.
+    pub fn decode(text: &str) -> Result<DecodedSettings, SettingsError> {
+        let deployment = decode(text.as_bytes())?;
+        Ok(DecodedSettings::new(deployment, text.to_string()))
+    }
+}
+
+impl PartialEq for DecodedSettings {
+    /// Compares the settings; the same settings may have different texts.
+    fn eq(&self, other: &DecodedSettings) -> bool {
+        self.deployment == other.deployment
+    }
+}
+
 /// JSON form of the settings. Unknown keys are ignored.
 #[derive(Deserialize)]
 pub(super) struct SettingsJson {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -15,7 +15,7 @@
 mod rendezvous;
 
 pub(in crate::net) use link::Received;
-pub(in crate::net) use messages::{ConnectionCounts, HandoverError, StateMessage};
+pub(in crate::net) use messages::{ConnectionCounts, HandoverError, SettingsMessage, StateMessage};
 pub use rendezvous::{inherited_listener, rendezvous_path};
 
 use crate::config::InheritedListener;
@@ -312,6 +312,7 @@
         &mut self,
         runtime: &mut Runtime,
         discovery: DiscoveryFacts,
+        settings: Option<SettingsMessage>,
         connections: ConnectionCounts,
     ) -> String {
         // Taken before recording starts, which stops the retry budget of this process.
@@ -330,6 +331,7 @@
             learned_state,
             lease: Some(discovery.lease),
             load: LoadMessage::of(runtime, connections),
+            settings,
         };
         state.to_line()
     }
--- a/src/net/handover/messages.rs
+++ b/src/net/handover/messages.rs
@@ -7,7 +7,10 @@
 use crate::endpoints::lease::LeaseHandover;
 use crate::net::runtime::Runtime;
 use crate::requests::process_load::ProcessLoad;
+use crate::requests::settings_schedule::ScheduleHandover;
+use miniserde::ser::{self, Fragment};
 use miniserde::{json, Deserialize, Serialize};
+use std::borrow::Cow;
 use std::io;
 use thiserror::Error;
 
@@ -70,7 +73,7 @@
 }
 
 /// The state of the predecessor at the time at which it stops accepting.
-#[derive(Serialize, Deserialize)]
+#[derive(Deserialize)]
 pub(in crate::net) struct StateMessage {
     /// Address of the predecessor's discovery server.
     pub(in crate::net) discovery: Option<String>,
@@ -91,6 +94,53 @@
     pub(super) load: LoadMessage,
     /// Learned statistics of pre-check phases.
     pub(super) phases: Option<Vec<PhaseStatistics>>,
+    /// The settings in use and those that come into force soon; absent in states of releases that do not hand them over.
+    pub(in crate::net) settings: Option<SettingsMessage>,
+}
+
+/// The settings of the predecessor.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(in crate::net) struct SettingsMessage {
+    pub(in crate::net) schedule: ScheduleHandover,
+    /// Whether the settings come from the store, which takes precedence over the configuration file.
+    #[serde(rename = "stored")]
+    pub(in crate::net) are_stored: bool,
+    /// Time since the predecessor last read its configuration file (seconds).
+    pub(in crate::net) file_age_s: f64,
+}
+
+impl Serialize for StateMessage {
+    /// Writes the fields in the order that all releases share. Settings are left out if there are none, as in earlier releases.
+    fn begin(&self) -> Fragment<'_> {
+        let settings = self.settings.as_ref();
+        let settings = settings.map(|settings| ("settings", settings as &dyn Serialize));
+        let fields = [
+            ("discovery", &self.discovery as &dyn Serialize),
+            ("list", &self.list),
+            ("names", &self.names),
+            ("classes", &self.classes),
+            ("tenants", &self.tenants),
+            ("lease", &self.lease),
+            ("beliefs", &self.learned_state),
+            ("load", &self.load),
+        ];
+        let last = ("phases", &self.phases as &dyn Serialize);
+        let fields: Vec<Field<'_>> = fields.into_iter().chain(settings).chain([last]).collect();
+        Fragment::Map(Box::new(Fields(fields.into_iter())))
+    }
+}
+
+/// Name and value of a field of a message.
+type Field<'a> = (&'static str, &'a dyn Serialize);
+
+/// The fields of a message that are still to be written.
+struct Fields<'a>(std::vec::IntoIter<Field<'a>>);
+
+impl ser::Map for Fields<'_> {
+    fn next(&mut self) -> Option<(Cow<'_, str>, &dyn Serialize)> {
+        let (name, value) = self.0.next()?;
+        Some((Cow::Borrowed(name), value))
+    }
 }
 
 impl StateMessage {
--- a/src/net/handover/tests.rs
+++ b/src/net/handover/tests.rs
@@ -65,6 +65,7 @@
             sent: Vec::new(),
         },
         phases: None,
+        settings: None,
     };
     let text = json::to_string(&state);
     assert!(text.len() < MAX_LINE_BYTES / 2, "{} bytes", text.len());
@@ -183,3 +184,24 @@
         (&vec![12.25], 13.25)
     );
 }
+
+/// The state of [`STATE_OF_DADE8DB`] with settings, as written since they are handed over.
+const STATE_WITH_SETTINGS: &str =
+    include_str!("../../../tests/compatibility/data/handover-state-settings.json");
+
+/// Settings in the state are decoded and encoded unchanged; a release that knows none reads the other fields as before.
+#[test]
+fn settings_in_a_state_are_decoded_and_encoded_unchanged() {
+    let state: StateMessage = json::from_str(STATE_WITH_SETTINGS).expect("state cannot be decoded");
+    assert_eq!(json::to_string(&state), STATE_WITH_SETTINGS.trim_end());
+    let settings = state.settings.as_ref().expect("state has no settings");
+    assert!(settings.are_stored);
+    assert_eq!(settings.file_age_s, 3.25);
+    assert_eq!(settings.schedule.waiting[0].applied_in_s, 0.75);
+    assert_eq!(settings.schedule.former[0].followed_for_s, 0.125);
+    let without = StateMessage {
+        settings: None,
+        ..state
+    };
+    assert_eq!(json::to_string(&without), STATE_OF_DADE8DB.trim_end());
+}
--- a/src/net/lifecycle_routing.rs
+++ b/src/net/lifecycle_routing.rs
@@ -295,10 +295,11 @@
             revision: self.discovery.revision(),
             lease: self.discovery.hand_over_lease(self.runtime.now),
         };
+        let settings = self.settings_for_successor();
         let Some(handover) = &mut self.handover else {
             return;
         };
-        let line = handover.state_line(&mut self.runtime, facts, connections);
+        let line = handover.state_line(&mut self.runtime, facts, settings, connections);
         self.release_inherited_listener();
         if let Some(handover) = &mut self.handover {
             let event = handover.send_state(&mut self.runtime, &line);
@@ -315,6 +316,7 @@
 
     /// Takes over the predecessor's state and confirms that to the predecessor.
     fn inherit_state(&mut self, state: StateMessage) {
+        self.inherit_settings(state.settings.as_ref());
         self.inherit_list(&state);
         if let Some(lease) = state.lease {
             self.discovery.inherit_lease(self.runtime.now, lease);
--- a/src/net/operator_routing.rs
+++ b/src/net/operator_routing.rs
@@ -1,9 +1,9 @@
-//! Integration of the admin interface, the store, the reload of settings and VRRP into the event loop.
+//! Integration of the admin interface, the store and VRRP into the event loop.
 //!
 //! The methods of [`Mixer`] here call one of these subsystems and forward its results to clients, the endpoint list, the
 //! settings, the listeners and the lifecycle of the process.
 
-use crate::config::{Deployment, StoreSetup, VrrpSetup};
+use crate::config::{StoreSetup, VrrpSetup};
 use crate::net::admin::{
     phase_text, AcceptResult, AdminCall, AdminServer, MetricsSources, MAX_ACCEPTS_PER_ITERATION,
     UNKNOWN_CALL_REPLY,
@@ -15,13 +15,12 @@
 use crate::net::event_loop::Mixer;
 use crate::net::http;
 use crate::net::lifecycle::Phase;
-use crate::net::reload::{self, ReloadOutcome};
 use crate::net::store_peers::{
     completed_body, CompletedOperation, Quorum, Requester, StorePeers, StoredChange,
 };
 use crate::net::vrrp_socket::{VrrpChange, VrrpReceived, VrrpSocket};
 use crate::net::ConnectionKey;
-use crate::requests::settings_schedule::{DueSettings, Origin};
+use crate::requests::settings_schedule::Origin;
 use crate::store::StoreError;
 use crate::vrrp::Event;
 use std::net::SocketAddr;
@@ -228,8 +227,7 @@
             }
             Some(Requester::Refresh) => {
                 store.log_quorum(&mut self.runtime, Quorum::Lost);
-                self.reload.store_lost();
-                self.apply_due_settings();
+                self.store_settings_lost();
             }
         }
         self.next_store_operation();
@@ -277,8 +275,7 @@
             self.apply_stored_value(&completed.key, value);
         }
         if is_settings {
-            self.reload.store_read(self.runtime.now);
-            self.apply_due_settings();
+            self.store_settings_read();
         }
     }
 
@@ -308,9 +305,9 @@
                 let entries = self.runtime.directory.set_drain_marks(names);
                 self.apply_entries(false, entries);
             }
-            StoredChange::Settings(deployment) => {
+            StoredChange::Settings(settings) => {
                 self.runtime.log("store: new settings");
-                self.accept_settings(*deployment, Origin::Store);
+                self.accept_settings(settings, Origin::Store);
             }
             StoredChange::InvalidSettings(error) => self.runtime.log(&format!(
                 "store: settings rejected, the old ones stay in use: {error}"
@@ -319,58 +316,6 @@
     }
 }
 
-/// Handlers of new settings, from the configuration file and from the store.
-impl Mixer {
-    /// Logs which classes have two-phase queries, if any.
-    pub(super) fn log_phases(&mut self) {
-        reload::log_phases(&mut self.runtime);
-    }
-
-    /// Handles SIGHUP: reads the configuration again. Requests and connections are kept; an invalid file changes nothing.
-    pub(super) fn reload_requested(&mut self) {
-        let ReloadOutcome::Accepted {
-            deployment,
-            discovery,
-        } = self.reload.reload_config(&mut self.runtime)
-        else {
-            return;
-        };
-        // Settings stored by the operators take precedence over the file.
-        if !self.has_stored_settings() {
-            self.accept_settings(*deployment, Origin::Signal);
-        }
-        match discovery {
-            Some(address) => self.change_discovery(address),
-            None => self.runtime.log("reload: discovery unchanged"),
-        }
-    }
-
-    /// Accepts valid settings, and restricts the rules in use to what they allow where clients may follow them already.
-    fn accept_settings(&mut self, deployment: Deployment, origin: Origin) {
-        self.reload
-            .accept_settings(&mut self.runtime, deployment, origin);
-        self.apply_due_settings();
-    }
-
-    /// Applies each of the accepted settings that are due, and begins and ends restrictions.
-    pub(super) fn apply_due_settings(&mut self) {
-        while let Some(due) = self.reload.take_due_settings(&self.runtime) {
-            self.apply_settings(due);
-        }
-        self.reload.schedule_next_change(&mut self.runtime);
-    }
-
-    fn apply_settings(&mut self, due: DueSettings) {
-        let zones = due.deployment.zones.clone();
-        self.runtime.directory.set_zones(zones);
-        let former = std::mem::replace(&mut self.runtime.deployment, due.deployment);
-        let drain_grace_s = self.runtime.deployment.policy.drain_grace_s;
-        self.discovery.set_drain_grace(drain_grace_s);
-        self.publish_lease();
-        reload::apply_settings(&mut self.runtime, &former, due.are_new);
-    }
-}
-
 /// Handlers of VRRP.
 impl Mixer {
     /// Opens the VRRP socket and starts the virtual router. The client listeners are open only while the router is Active.
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -1,7 +1,8 @@
 //! Reload of the configuration on SIGHUP: the settings and the address of discovery. An invalid configuration changes nothing,
 //! and requests and client connections are not affected.
 
-use crate::config::{Config, Deployment, KeyPaths, Uncertainty};
+use crate::config::{Config, DecodedSettings, Deployment, KeyPaths, SettingsError, Uncertainty};
+use crate::net::handover::SettingsMessage;
 use crate::net::runtime::Runtime;
 use crate::net::timer_queue::{Deadline, TIMER_TOLERANCE_S};
 use crate::requests::settings_schedule::{DueSettings, Origin, SettingsSchedule};
@@ -10,6 +11,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// Maximum length of all settings that are handed over to a successor (bytes), of which a message may contain 48 MiB.
+const MAX_HANDED_OVER_BYTES: usize = 8 * 1024 * 1024;
+
 /// The configuration file and the results of reloading it.
 pub(super) struct Reload {
     /// Becomes readable when the process has received SIGHUP.
@@ -24,6 +28,8 @@
     next_change_at: Option<f64>,
     /// Address of discovery in the file that was accepted last; the environment may override it.
     file_discovery: Option<SocketAddr>,
+    /// Time at which that file was read (seconds).
+    file_read_at: f64,
     /// Number of files that were accepted on SIGHUP.
     accepted: u64,
     /// Number of files that were rejected on SIGHUP.
@@ -37,7 +43,7 @@
     /// The file is valid.
     Accepted {
         /// Settings of the file.
-        deployment: Box<Deployment>,
+        settings: DecodedSettings,
         /// Address of discovery, if the file names another one than before.
         discovery: Option<SocketAddr>,
     },
@@ -51,6 +57,7 @@
         key_paths: KeyPaths,
         file_discovery: Option<SocketAddr>,
         schedule: SettingsSchedule,
+        now: f64,
     ) -> Reload {
         Reload {
             signals,
@@ -59,6 +66,7 @@
             schedule,
             next_change_at: None,
             file_discovery,
+            file_read_at: now,
             accepted: 0,
             rejected: 0,
         }
@@ -77,17 +85,26 @@
     /// Reloads the configuration after one or more signals.
     pub(super) fn reload_config(&mut self, runtime: &mut Runtime) -> ReloadOutcome {
         self.consume_signals();
+        let outcome = self.read_config(runtime);
+        match outcome {
+            ReloadOutcome::Rejected => self.rejected += 1,
+            ReloadOutcome::Accepted { .. } => self.accepted += 1,
+        }
+        outcome
+    }
+
+    /// Reads the configuration file again.
+    pub(super) fn read_config(&mut self, runtime: &mut Runtime) -> ReloadOutcome {
         let reloaded = match Config::reload(&self.config_path, &self.key_paths) {
             Ok(reloaded) => reloaded,
             Err(error) => {
-                self.rejected += 1;
                 runtime.log(&format!(
                     "reload: rejected, the old configuration stays in use: {error}"
                 ));
                 return ReloadOutcome::Rejected;
             }
         };
-        self.accepted += 1;
+        self.file_read_at = runtime.now;
         self.key_paths = reloaded.key_paths;
         // The environment of a running process cannot change, but the file can: a new address of discovery in the file takes
         // precedence.
@@ -96,7 +113,7 @@
             .filter(|address| Some(*address) != self.file_discovery);
         self.file_discovery = discovery.or(self.file_discovery);
         ReloadOutcome::Accepted {
-            deployment: Box::new(reloaded.deployment),
+            settings: reloaded.settings,
             discovery,
         }
     }
@@ -106,14 +123,50 @@
         while matches!(self.signals.read(&mut buffer), Ok(count) if count > 0) {}
     }
 
+    /// Returns the time since the configuration file was last read and accepted (seconds).
+    pub(super) fn file_age_s(&self, now: f64) -> f64 {
+        now - self.file_read_at
+    }
+
+    /// Returns the settings that were accepted last, which may not be in use yet.
+    pub(super) fn last_accepted(&self) -> &DecodedSettings {
+        self.schedule.last_accepted()
+    }
+
+    /// Begins anew with settings of unknown age.
+    pub(super) fn begin_settings(&mut self, now: f64, settings: DecodedSettings) {
+        self.schedule.begin(now, settings);
+    }
+
+    /// Returns the settings for the successor process. `are_stored` says that they come from the store. Returns `None` if they are too
+    /// long to be sent.
+    pub(super) fn settings_message(&self, now: f64, are_stored: bool) -> Option<SettingsMessage> {
+        let schedule = self.schedule.hand_over(now);
+        let is_sendable = schedule.text_bytes() <= MAX_HANDED_OVER_BYTES;
+        is_sendable.then(|| SettingsMessage {
+            schedule,
+            are_stored,
+            file_age_s: self.file_age_s(now),
+        })
+    }
+
+    /// Adopts the predecessor's settings in place of the own ones. Changes nothing if they cannot be decoded.
+    pub(super) fn inherit_settings(
+        &mut self,
+        now: f64,
+        message: &SettingsMessage,
+    ) -> Result<(), SettingsError> {
+        self.schedule.inherit(now, &message.schedule)
+    }
+
     /// Accepts valid settings and schedules their use.
     pub(super) fn accept_settings(
         &mut self,
         runtime: &mut Runtime,
-        deployment: Deployment,
+        settings: DecodedSettings,
         origin: Origin,
     ) {
-        if self.schedule.accept(runtime.now, deployment, origin) {
+        if self.schedule.accept(runtime.now, settings, origin) {
             runtime.log("reload: new settings accepted; they are applied in 1 s");
         }
     }
@@ -177,6 +230,8 @@
         runtime.log(&format!(
             "reload: parts of {changing:?} that may have run are not retried until all clients use the new effect"
         ));
+    } else if !former.effect_changes.is_empty() {
+        runtime.log("reload: all clients use the new effects of their classes");
     }
     if deployment.uncertainty != former.uncertainty {
         log_uncertainty(runtime);
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -1,6 +1,6 @@
 //! The start of the mixer: opens its sockets, derives its limits and creates its subsystems.
 
-use crate::config::{Deployment, Options};
+use crate::config::{DecodedSettings, Deployment, Options};
 use crate::endpoints::directory::Directory;
 use crate::net::backlog::Backlog;
 use crate::net::client::connections::ClientConnections;
@@ -111,9 +111,9 @@
         max_connections,
         memory_bytes: options.max_memory_bytes,
     };
-    let deployment = Rc::new(options.deployment);
-    let mut runtime = build_runtime(poll, setup, deployment.clone());
-    let schedule = SettingsSchedule::new(runtime.now, deployment, kind.has_store);
+    let settings = DecodedSettings::new(options.deployment, options.settings_text);
+    let mut runtime = build_runtime(poll, setup, settings.deployment.clone());
+    let schedule = SettingsSchedule::new(runtime.now, settings, kind.has_store);
     let discovery = DiscoveryClient::new(
         options.discovery,
         &runtime.deployment.policy,
@@ -121,6 +121,7 @@
         runtime.now,
         runtime.rng.rand_float(),
     );
+    let started_at = runtime.now;
     Ok(Mixer {
         runtime,
         listeners: Listeners::new(open, addresses),
@@ -138,6 +139,7 @@
             options.key_paths,
             options.file_discovery,
             schedule,
+            started_at,
         ),
         admin: None,
         handover: None,
--- a/src/net/store_peers/contents.rs
+++ b/src/net/store_peers/contents.rs
@@ -1,6 +1,6 @@
 //! The keys of the store that a mixer uses, and the formats of their values.
 
-use crate::config::{self, Deployment, SettingsError};
+use crate::config::{self, DecodedSettings, SettingsError};
 use crate::endpoints::json_limits;
 use crate::store::is_storable;
 use miniserde::json::{self, Value};
@@ -21,7 +21,7 @@
     /// Names of the leaf servers that are draining.
     Draining(Vec<String>),
     /// New settings.
-    Settings(Box<Deployment>),
+    Settings(DecodedSettings),
     /// Settings that cannot be decoded.
     InvalidSettings(SettingsError),
 }
@@ -37,8 +37,8 @@
             DRAINING => Some(StoredChange::Draining(
                 json::from_str(value).unwrap_or_default(),
             )),
-            SETTINGS => Some(match config::decode(value.as_bytes()) {
-                Ok(deployment) => StoredChange::Settings(Box::new(deployment)),
+            SETTINGS => Some(match DecodedSettings::decode(value) {
+                Ok(settings) => StoredChange::Settings(settings),
                 Err(error) => StoredChange::InvalidSettings(error),
             }),
             _ => None,
--- a/src/requests/settings_schedule.rs
+++ b/src/requests/settings_schedule.rs
@@ -3,7 +3,11 @@
 //!
 //! The module does no I/O and reads no clock. Times are seconds on the caller's clock.
 
-use crate::config::{Deployment, Uncertainty};
+mod handover;
+
+pub use handover::{FormerHandover, ScheduleHandover, WaitingHandover};
+
+use crate::config::{DecodedSettings, Deployment, Uncertainty};
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -30,7 +34,7 @@
 
 /// Settings that are accepted but not applied yet.
 struct ScheduledSettings {
-    deployment: Rc<Deployment>,
+    settings: DecodedSettings,
     /// Time from which clients may follow the settings.
     followed_from: f64,
     /// Time at which the settings are applied.
@@ -39,7 +43,7 @@
 
 /// Settings that others have replaced.
 struct FormerSettings {
-    deployment: Rc<Deployment>,
+    settings: DecodedSettings,
     /// Time until which clients may follow the settings.
     followed_until: f64,
 }
@@ -57,7 +61,7 @@
 /// earlier ones that clients will use first, nor are applied together with them.
 pub struct SettingsSchedule {
     /// The settings that were applied last, without restrictions.
-    latest: Rc<Deployment>,
+    latest: DecodedSettings,
     /// Whether [`SettingsSchedule::take_due`] has returned the latest settings.
     is_latest_taken: bool,
     /// Accepted settings in the order of their acceptance.
@@ -72,9 +76,9 @@
 impl SettingsSchedule {
     /// Creates the schedule of a process that starts. `has_store` says that the store, which has not been read yet, takes precedence
     /// over its settings.
-    pub fn new(now: f64, deployment: Rc<Deployment>, has_store: bool) -> SettingsSchedule {
+    pub fn new(now: f64, settings: DecodedSettings, has_store: bool) -> SettingsSchedule {
         SettingsSchedule {
-            latest: deployment,
+            latest: settings,
             is_latest_taken: true,
             waiting: VecDeque::new(),
             former: VecDeque::new(),
@@ -85,24 +89,24 @@
 
     /// Begins anew with settings that others may have followed for long, or for a moment only. They are applied at once, and no
     /// earlier ones are applied any more.
-    pub fn begin(&mut self, now: f64, deployment: Deployment) {
+    pub fn begin(&mut self, now: f64, settings: DecodedSettings) {
         self.waiting.clear();
         self.former.clear();
-        if *self.latest != deployment {
-            self.latest = Rc::new(deployment);
+        if self.latest != settings {
+            self.latest = settings;
             self.is_latest_taken = false;
         }
         self.unknown_until = now + UNKNOWN_AGE_S;
     }
 
     /// Accepts settings at `now`. Returns false if they equal the last accepted ones.
-    pub fn accept(&mut self, now: f64, deployment: Deployment, origin: Origin) -> bool {
-        if *self.last_accepted() == deployment {
+    pub fn accept(&mut self, now: f64, settings: DecodedSettings, origin: Origin) -> bool {
+        if *self.last_accepted() == settings {
             return false;
         }
         // A value that is read for the first time may have been written long ago.
         if origin == Origin::Store && self.is_store_unread {
-            self.begin(now, deployment);
+            self.begin(now, settings);
             return true;
         }
         if self.waiting.len() >= MAX_WAITING {
@@ -110,7 +114,7 @@
         }
         let apply_at = now + APPLY_AFTER_S;
         self.waiting.push_back(ScheduledSettings {
-            deployment: Rc::new(deployment),
+            settings,
             followed_from: match origin {
                 Origin::Signal => apply_at,
                 Origin::Store => now,
@@ -120,8 +124,9 @@
         true
     }
 
-    fn last_accepted(&self) -> &Deployment {
-        let waiting = self.waiting.back().map(|last| &last.deployment);
+    /// Returns the settings that were accepted last, which may not be applied yet.
+    pub fn last_accepted(&self) -> &DecodedSettings {
+        let waiting = self.waiting.back().map(|last| &last.settings);
         waiting.unwrap_or(&self.latest)
     }
 
@@ -161,7 +166,7 @@
             return;
         };
         self.former.push_back(FormerSettings {
-            deployment: std::mem::replace(&mut self.latest, due.deployment),
+            settings: std::mem::replace(&mut self.latest, due.settings),
             followed_until: due.apply_at + TRANSITION_S,
         });
         self.is_latest_taken = false;
@@ -170,12 +175,13 @@
     /// Returns the latest settings with all restrictions that hold at `now`.
     pub fn in_force(&self, now: f64) -> Deployment {
         let newest_first = self.former.iter().rev();
-        let restricted = newest_first.fold(Deployment::clone(&self.latest), |settings, former| {
-            settings.restricted_by_former(&former.deployment)
-        });
+        let restricted = newest_first.fold(
+            Deployment::clone(&self.latest.deployment),
+            |settings, former| settings.restricted_by_former(&former.settings.deployment),
+        );
         let followed = self.waiting.iter().filter(|next| next.followed_from <= now);
         let restricted = followed.fold(restricted, |settings, next| {
-            settings.restricted_by_next(&next.deployment)
+            settings.restricted_by_next(&next.settings.deployment)
         });
         match self.uncertainty(now) {
             Some(reason) => restricted.without_repeats(reason),
--- a/src/requests/settings_schedule/tests.rs
+++ b/src/requests/settings_schedule/tests.rs
@@ -1,7 +1,6 @@
 //! Tests of the times at which accepted settings are applied.
 
 use super::*;
-use crate::config;
 use crate::decisions::api::Effect;
 
 /// Start of a process whose settings have been in force for long by the time 0 (seconds).
@@ -14,21 +13,20 @@
 }
 
 impl Fixture {
-    fn new(current: Deployment) -> Fixture {
+    fn new(current: DecodedSettings) -> Fixture {
         Fixture::started_at(LONG_AGO, current, false)
     }
 
-    fn started_at(now: f64, current: Deployment, has_store: bool) -> Fixture {
-        let current = Rc::new(current);
+    fn started_at(now: f64, current: DecodedSettings, has_store: bool) -> Fixture {
         Fixture {
-            schedule: SettingsSchedule::new(now, current.clone(), has_store),
-            current,
+            current: current.deployment.clone(),
+            schedule: SettingsSchedule::new(now, current, has_store),
         }
     }
 
     /// Accepts settings, and returns the time at which they are applied.
-    fn accept(&mut self, now: f64, deployment: Deployment) -> Option<f64> {
-        let is_new = self.schedule.accept(now, deployment, Origin::Signal);
+    fn accept(&mut self, now: f64, settings: DecodedSettings) -> Option<f64> {
+        let is_new = self.schedule.accept(now, settings, Origin::Signal);
         is_new.then(|| self.schedule.waiting.back().expect("waiting").apply_at)
     }
 
@@ -46,15 +44,15 @@
 }
 
 /// Returns settings with a single class of this name.
-fn settings(class: &str) -> Deployment {
+fn settings(class: &str) -> DecodedSettings {
     settings_with_effect(class, "retryable")
 }
 
-fn settings_with_effect(class: &str, effect: &str) -> Deployment {
+fn settings_with_effect(class: &str, effect: &str) -> DecodedSettings {
     let text = format!(
         "{{\"categories\": [{{\"name\": \"{class}\", \"aimS\": 0.1, \"giveUpS\": 0.5, \"effect\": \"{effect}\", \"worth\": 1}}]}}"
     );
-    config::decode(text.as_bytes()).expect("the settings are valid")
+    DecodedSettings::decode(&text).expect("the settings are valid")
 }
 
 /// Guards against settings that are applied by the timer of earlier ones, while clients still use the rules before them.
@@ -143,7 +141,7 @@
 ) {
     let mut fixture = Fixture::new(settings_with_effect("hold", before));
     let new = settings_with_effect("hold", after);
-    let new_effect = new.policy.classes[0].effect;
+    let new_effect = new.deployment.policy.classes[0].effect;
     fixture.accept(0.0, new);
     assert_eq!(fixture.effect(1.0), Effect::NonIdempotent);
     let effect = fixture.current.effect_of_request_without_key(0);
@@ -215,13 +213,18 @@
 }
 
 /// Returns settings with a class of effect dedup and these limits.
-fn settings_with_limits(window_s: f64, attempts: u32, hedging: bool, floor: f64) -> Deployment {
+fn settings_with_limits(
+    window_s: f64,
+    attempts: u32,
+    hedging: bool,
+    floor: f64,
+) -> DecodedSettings {
     let text = format!(
         r#"{{"categories": [{{"name": "hold", "aimS": 0.1, "giveUpS": 0.5, "effect": "dedup", "windowS": {window_s}, "worth": 1}}],
             "familyInfo": {{"floorByClass": [{floor}], "completeFrom": [{floor}]}},
             "permissions": {{"sendCap": {attempts}, "secondCopies": {hedging}}}}}"#
     );
-    config::decode(text.as_bytes()).expect("the settings are valid")
+    DecodedSettings::decode(&text).expect("the settings are valid")
 }
 
 /// Guards against limits that are exceeded while some clients follow the former settings and others the new ones.
@@ -235,8 +238,8 @@
     settings_with_limits(2.0, 4, true, 0.5)
 )]
 fn the_stricter_limits_hold_during_a_transition(
-    #[case] former: Deployment,
-    #[case] new: Deployment,
+    #[case] former: DecodedSettings,
+    #[case] new: DecodedSettings,
 ) {
     let mut fixture = Fixture::new(former);
     fixture.accept(0.0, new.clone());
@@ -250,7 +253,7 @@
         (0.75, 0.75)
     );
     fixture.apply(1.25);
-    assert_eq!(*fixture.current, new);
+    assert_eq!(fixture.current, new.deployment);
 }
 
 /// What only makes the process do less may be used while the store is unread: classes, deadlines, the number of attempts.
@@ -262,7 +265,40 @@
     let current = &fixture.current;
     assert!(!current.policy.can_hedge);
     assert_eq!(current.policy.max_attempts, 4);
-    assert_eq!(current.classes, settings.classes);
+    assert_eq!(current.classes, settings.deployment.classes);
     assert_eq!(current.declared_effects, [Effect::IdempotentWithKey]);
     assert!(current.forwards_any_key(0));
 }
+
+/// Guards against a successor that uses new settings while clients still follow the former ones: it applies each at the
+/// predecessor's time, and ends each restriction at its time. The two processes share no clock.
+#[test]
+fn a_successor_applies_each_settings_and_ends_each_restriction_at_the_predecessors_time() {
+    let mut former = Fixture::new(settings_with_effect("hold", "retryable"));
+    former.accept(0.0, settings_with_effect("hold", "fragile"));
+    former.accept(0.75, settings_with_effect("hold", "retryable"));
+    assert_eq!(former.effect(1.0), Effect::NonIdempotent);
+    let state = former.schedule.hand_over(1.0);
+    let mut successor = Fixture::started_at(50.0, settings_with_effect("new", "retryable"), false);
+    successor
+        .schedule
+        .inherit(51.0, &state)
+        .expect("the settings are valid");
+    assert_eq!(successor.effect(51.0), Effect::NonIdempotent);
+    assert_eq!(successor.current.classes, ["hold"]);
+    assert_eq!(successor.schedule.next_change_at(51.0), Some(51.25));
+    assert_eq!(successor.effect(51.75), Effect::NonIdempotent);
+    assert_eq!(successor.effect(51.99), Effect::NonIdempotent);
+    assert_eq!(successor.effect(52.0), Effect::Idempotent);
+    assert_eq!(successor.schedule.next_change_at(52.0), None);
+}
+
+#[test]
+fn settings_of_a_predecessor_that_cannot_be_decoded_change_nothing() {
+    let mut successor = Fixture::new(settings("own"));
+    let mut state = Fixture::new(settings("former")).schedule.hand_over(0.0);
+    state.latest = "{}".into();
+    assert!(successor.schedule.inherit(0.0, &state).is_err());
+    assert_eq!(successor.apply(9.0), None);
+    assert_eq!(successor.current.classes, ["own"]);
+}
--- a/tests/exchanges/main.rs
+++ b/tests/exchanges/main.rs
@@ -27,7 +27,7 @@
 //! - `WHO ends`: waits until the program closes the connection, in order or by a reset. `WHO parts`: waits until the program closes
 //!   it in order, without a reset. `WHO floods`: sends until the program closes the connection. `NAME refuses`: stops listening.
 //! - `NAME tells HEX`, `NAME hears HEX`: sends or awaits a message of a VRRP router. `active`: waits until the program listens for
-//!   clients.
+//!   clients, or for searches where it inherits the other listener.
 //! - `hold`: the script opens the listener for clients, and programs inherit it. `beside`: starts another program in parallel with
 //!   the present one. The earlier program is `old` from then on: `old log TEXT`, `old term` and `old exits` apply to it, and a client
 //!   whose name begins with `oop` connects to its admin interface. `ends now`: kills the newer program, and the old one is the
--- a/tests/exchanges/program.rs
+++ b/tests/exchanges/program.rs
@@ -33,6 +33,11 @@
         self.search_address = has_search.then(|| self.await_address("search API"));
     }
 
+    /// Waits until the program listens for searches, where its listener for other clients is inherited.
+    pub fn await_search_address(&mut self) {
+        self.search_address = Some(self.await_address("search API"));
+    }
+
     /// Waits for the log line with `text`, and returns the address in it.
     pub fn await_address(&mut self, text: &str) -> SocketAddr {
         let line = self.await_log(text);
--- a/tests/exchanges/steps.rs
+++ b/tests/exchanges/steps.rs
@@ -107,7 +107,10 @@
         }
         ["active"] => {
             let has_search = state.config_keys.contains_key("search");
-            state.program().await_client_addresses(has_search);
+            match state.held_listener {
+                Some(_) => state.program().await_search_address(),
+                None => state.program().await_client_addresses(has_search),
+            }
         }
         ["log", ..] => drop(state.program().await_log(&line["log ".len()..])),
         ["rewrite"] => {
