A state is taken back if settings are accepted before the successor has confirmed it

Callers would see: SIGHUP, or a write to the store, that reaches the first process after it has sent its state is followed by nobody: the successor goes on with the settings in the state, for good. The window is up to 0.7 s. Cause: the state is a copy; what the predecessor accepts afterwards was not part of it. Change: accepted settings end a handover whose state is not confirmed yet.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -351,6 +351,13 @@
         self.send(runtime, Side::Successor, state_line)
     }
 
+    /// Takes back a state that was sent and not confirmed yet, because the settings have changed since. The successor tries again.
+    pub(super) fn take_back_state(&mut self, runtime: &mut Runtime) -> Option<HandoverEvent> {
+        let successor = self.successor.as_ref();
+        successor.filter(|link| link.stage == Stage::StateSent)?;
+        self.end_link(runtime, Side::Successor, &HandoverError::SettingsChanged)
+    }
+
     /// Commits the handover: the successor accepts connections from now on.
     pub(super) fn commit(&mut self, runtime: &mut Runtime) -> Option<HandoverEvent> {
         self.rendezvous = None;
--- a/src/net/handover/messages.rs
+++ b/src/net/handover/messages.rs
@@ -45,6 +45,9 @@
     /// The successor did not reply in time.
     #[error("no reply in time")]
     SuccessorSilent,
+    /// The process has accepted other settings than those that it has handed over.
+    #[error("settings have changed meanwhile")]
+    SettingsChanged,
 }
 
 /// A received message. Its JSON is decoded only if the message belongs to the current stage.
--- a/src/net/lifecycle_routing.rs
+++ b/src/net/lifecycle_routing.rs
@@ -307,6 +307,14 @@
         }
     }
 
+    /// Takes back the state that was sent to a successor, if it has not confirmed it yet.
+    pub(super) fn take_back_state(&mut self) {
+        if let Some(handover) = &mut self.handover {
+            let event = handover.take_back_state(&mut self.runtime);
+            self.route_handover(event);
+        }
+    }
+
     fn connection_counts(&self) -> ConnectionCounts {
         ConnectionCounts {
             clients: self.clients.count(),
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -159,16 +159,18 @@
         self.schedule.inherit(now, &message.schedule)
     }
 
-    /// Accepts valid settings and schedules their use.
+    /// Accepts valid settings and schedules their use. Returns false if they equal the last ones.
     pub(super) fn accept_settings(
         &mut self,
         runtime: &mut Runtime,
         settings: DecodedSettings,
         origin: Origin,
-    ) {
-        if self.schedule.accept(runtime.now, settings, origin) {
+    ) -> bool {
+        let is_new = self.schedule.accept(runtime.now, settings, origin);
+        if is_new {
             runtime.log("reload: new settings accepted; they are applied in 1 s");
         }
+        is_new
     }
 
     /// Records that the store's settings were read from a majority of its nodes.
--- a/src/net/settings_routing.rs
+++ b/src/net/settings_routing.rs
@@ -140,14 +140,19 @@
 // ---- settings from all sources
 
 impl Mixer {
-    /// Accepts valid settings, and restricts the rules in use to what they allow where clients may follow them already.
+    /// Accepts valid settings, and restricts the rules in use to what they allow where clients may follow them already. A state
+    /// that has been sent to a successor is outdated then.
     pub(super) fn accept_settings(&mut self, settings: DecodedSettings, origin: Origin) {
         if self.lifecycle.phase() == Phase::Inheriting {
             // No client is served yet, so the settings need not wait.
             self.reload.begin_settings(self.runtime.now, settings);
         } else {
-            self.reload
+            let is_new = self
+                .reload
                 .accept_settings(&mut self.runtime, settings, origin);
+            if is_new {
+                self.take_back_state();
+            }
         }
         self.apply_due_settings();
     }
