A process that goes on in place of another reads its file again

Callers would see: after a successor that had taken over is lost, the first process serves by the settings of the time before, for good, while clients follow what the successor has accepted: parts of a class that is fragile now run again, a class added since is unknown. The same for a process that starts alone after a failed takeover, by a file that it has read up to 4 s before. Each process took what it had read itself for what binds, although another one had served meanwhile. With settings in the store these bind as before. Before, on: handover-settings-resume.txt (class unknown for good) and handover-settings-alone.txt (second attempt) fail.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -10,16 +10,17 @@
 //! timeout, so that a process that serves the accept queue is never missing for long. The inherited listener is never shut down,
 //! because the other process shares it. Effects on other subsystems are returned as a `HandoverEvent`.
 
+mod limits;
 mod link;
 mod messages;
 mod rendezvous;
 
+pub(super) use limits::ConnectionLimits;
 pub(in crate::net) use link::Received;
 pub(in crate::net) use messages::{ConnectionCounts, HandoverError, SettingsMessage, StateMessage};
 pub use rendezvous::{inherited_listener, rendezvous_path};
 
 use crate::config::InheritedListener;
-use crate::connections::pool;
 use crate::decisions::learned_state::LearnedReplica;
 use crate::endpoints::lease::LeaseHandover;
 use crate::net::runtime::Runtime;
@@ -54,10 +55,6 @@
 const LOAD_INTERVAL_S: f64 = 0.02;
 /// Time without a load report after which the predecessor is considered to have exited (seconds).
 const LOAD_TIMEOUT_S: f64 = 5.0;
-/// Minimum number of connections to clients, and of connections to replicas, that the successor may have regardless of the
-/// predecessor's connections.
-const MIN_CONNECTIONS: usize = 16;
-
 /// The role of the process at the other end of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(in crate::net) enum Side {
@@ -68,8 +65,10 @@
 /// The reason why this process starts to accept connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum StartKind {
-    /// No predecessor runs, or the handover failed.
+    /// No predecessor runs.
     Alone,
+    /// A predecessor was found, and the handover failed.
+    AfterFailedTakeover,
     /// The predecessor has committed the handover.
     AfterPredecessor,
 }
@@ -78,7 +77,7 @@
     /// Returns the text for the log line.
     pub(super) fn label(self) -> &'static str {
         match self {
-            StartKind::Alone => "alone",
+            StartKind::Alone | StartKind::AfterFailedTakeover => "alone",
             StartKind::AfterPredecessor => "in place of the predecessor",
         }
     }
@@ -117,13 +116,6 @@
     pub(super) lease: LeaseHandover,
 }
 
-/// Maximum numbers of connections of this process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct ConnectionLimits {
-    pub(super) clients: usize,
-    pub(super) replicas: usize,
-}
-
 /// The stage of a connection, and whether its timeout has expired.
 #[derive(Clone, Copy)]
 struct StageTimeout {
@@ -148,6 +140,8 @@
     successor: Option<Link>,
     /// Time at which this process starts without a handover if the predecessor has not committed.
     takeover_ends_at: f64,
+    /// Whether this process has been connected to a predecessor.
+    has_met_predecessor: bool,
     /// Connections that the predecessor still has, according to its last load report.
     predecessor_connections: ConnectionCounts,
 }
@@ -167,6 +161,7 @@
             predecessor: None,
             successor: None,
             takeover_ends_at: now + TAKEOVER_TIMEOUT_S,
+            has_met_predecessor: false,
             predecessor_connections: ConnectionCounts::default(),
         })
     }
@@ -186,6 +181,7 @@
             Ok(stream) => {
                 let timeout_at = runtime.now + LIST_TIMEOUT_S;
                 self.predecessor = Some(Link::new(stream, Stage::AwaitingList, timeout_at));
+                self.has_met_predecessor = true;
                 runtime.timers.add(timeout_at, Deadline::Handover);
                 runtime.log("handover: connected to the running process, taking over from it");
             }
@@ -194,7 +190,7 @@
                 // reached.
                 let is_busy = error.kind() == io::ErrorKind::WouldBlock;
                 if !is_busy || runtime.now >= self.takeover_ends_at {
-                    return Some(HandoverEvent::Start(StartKind::Alone));
+                    return Some(self.start_without_handover());
                 }
                 let retry_at = runtime.now + RETRY_DELAY_S;
                 runtime.timers.add(retry_at, Deadline::Handover);
@@ -203,6 +199,14 @@
         None
     }
 
+    fn start_without_handover(&self) -> HandoverEvent {
+        HandoverEvent::Start(if self.has_met_predecessor {
+            StartKind::AfterFailedTakeover
+        } else {
+            StartKind::Alone
+        })
+    }
+
     /// Requests the predecessor's state if that is the next step: discovery has answered, or the wait for it has timed out.
     pub(super) fn request_state(&mut self, runtime: &mut Runtime) -> Option<HandoverEvent> {
         let link = self.predecessor.as_mut()?;
@@ -524,7 +528,7 @@
         }) = expired.predecessor
         else {
             return match (is_inheriting, expired.is_takeover_timed_out) {
-                (true, true) => Some(HandoverEvent::Start(StartKind::Alone)),
+                (true, true) => Some(self.start_without_handover()),
                 (true, false) => self.connect_predecessor(runtime),
                 (false, _) => None,
             };
@@ -575,24 +579,5 @@
     }
 }
 
-impl ConnectionLimits {
-    /// Returns the limits of the process minus the predecessor's connections.
-    pub(super) fn new(runtime: &Runtime, handover: Option<&Handover>) -> ConnectionLimits {
-        let predecessor = handover
-            .map(|handover| handover.predecessor_connections)
-            .unwrap_or_default();
-        let remaining = |limit: usize, predecessor: usize| {
-            limit
-                .saturating_sub(predecessor)
-                .max(MIN_CONNECTIONS.min(limit))
-        };
-        let shares = pool::shares(runtime.max_connections, runtime.directory.count());
-        ConnectionLimits {
-            clients: remaining(shares.clients, predecessor.clients),
-            replicas: remaining(shares.replicas, predecessor.replicas),
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/lifecycle_routing.rs
+++ b/src/net/lifecycle_routing.rs
@@ -272,6 +272,9 @@
 
     /// Starts to accept clients and a successor.
     fn start_serving(&mut self, kind: StartKind) {
+        if kind == StartKind::AfterFailedTakeover {
+            self.begin_from_file();
+        }
         self.lifecycle.begin_starting();
         let line = format!("handover: starting {}", kind.label());
         self.runtime.log(&line);
@@ -383,6 +386,7 @@
         match self.lifecycle.phase() {
             Phase::Closing { .. } | Phase::Stopped => return,
             Phase::HandedOver => {
+                self.begin_from_file();
                 self.lifecycle.resume_from_handed_over();
                 self.check_readiness();
                 self.listen_for_successor();
