New settings do not give a process that has handed over its retry budget back

Callers would see: more retries than the settings allow, while both processes of an upgrade run and the first one still answers requests. Cause: set_recording(true) empties the budget, since the successor counts the attempts of both; reconfigure built the decision module's settings anew without it. Change: one method builds the module's settings, and leaves the budget empty while attempts are recorded for a successor.

--- a/src/requests/coordinator.rs
+++ b/src/requests/coordinator.rs
@@ -156,14 +156,10 @@
     /// the successor counts the attempts of both processes, and this process does not know those of the successor.
     pub fn set_recording(&mut self, now: f64, on: bool, out: &mut Vec<Command>) {
         self.recorder.set_recording(on);
-        let mut settings = Box::new(module_settings(&self.deployment));
-        let Some(retry_budget) = settings.retry_budget.as_mut() else {
+        if self.deployment.policy.retry_budget.is_none() {
             return;
-        };
-        if on {
-            retry_budget.min_retries = 0.0;
-            retry_budget.retries_per_accepted = 0.0;
         }
+        let settings = Box::new(self.module_settings());
         let unchanged = |count: usize| (0..count).map(Some).collect();
         let classes = unchanged(settings.classes.len());
         let tenants = unchanged(settings.tenants.len());
@@ -178,6 +174,17 @@
         );
     }
 
+    /// Returns the settings of the decision module. While attempts are recorded for the successor the retry budget is empty.
+    fn module_settings(&self) -> Settings {
+        let mut settings = module_settings(&self.deployment);
+        let budget = settings.retry_budget.as_mut();
+        if let Some(budget) = budget.filter(|_| self.recorder.is_recording()) {
+            budget.min_retries = 0.0;
+            budget.retries_per_accepted = 0.0;
+        }
+        settings
+    }
+
     /// Returns the load of this process, with the attempts sent since the previous call of this method.
     pub fn take_process_load(&mut self) -> ProcessLoad {
         let mut in_flight: BTreeMap<ReplicaId, u32> = BTreeMap::new();
@@ -341,12 +348,12 @@
         for metrics in &mut self.metrics {
             metrics.track_classes(&deployment.classes);
         }
-        let settings = Box::new(module_settings(&deployment));
         let learned = self.phases.statistics();
         let former_phases = std::mem::replace(&mut self.phases, new_phases(&deployment));
         self.phases.inherit(learned);
         self.phases.keep_metrics(&former_phases);
         self.deployment = deployment;
+        let settings = Box::new(self.module_settings());
         self.handle_event(
             now,
             Event::Settings {
--- a/src/requests/process_load.rs
+++ b/src/requests/process_load.rs
@@ -29,6 +29,11 @@
         self.unreported = on.then(Vec::new);
     }
 
+    /// Returns whether attempts are recorded.
+    pub(super) fn is_recording(&self) -> bool {
+        self.unreported.is_some()
+    }
+
     /// Records an attempt sent now. Attempts beyond the maximum are dropped, so the successor does not count them.
     pub(super) fn record(&mut self, now: f64, replica: ReplicaId, is_retry: bool) {
         let Some(unreported) = &mut self.unreported else {
