--- a/src/net/operator_routing.rs
+++ b/src/net/operator_routing.rs
@@ -16,7 +16,7 @@
 use crate::net::http;
 use crate::net::lifecycle::Phase;
 use crate::net::store_peers::{
-    completed_body, CompletedOperation, Quorum, Requester, StorePeers, StoredChange,
+    completed_body, CompletedOperation, Quorum, Requester, StorePeers, StoredChange, SETTINGS,
 };
 use crate::net::vrrp_socket::{VrrpChange, VrrpReceived, VrrpSocket};
 use crate::net::ConnectionKey;
@@ -245,9 +245,13 @@
         self.complete_store_operations();
     }
 
-    /// Responds to and applies each completed operation. The next one starts in a later turn, because an operation may wait for
-    /// the disk.
+    /// Applies settings that a peer has stored, then responds to and applies each completed operation. The next one starts in a later
+    /// turn, because an operation may wait for the disk.
     fn complete_store_operations(&mut self) {
+        let store = self.store.as_mut();
+        if let Some(settings) = store.and_then(StorePeers::take_replicated_settings) {
+            self.apply_stored_value(SETTINGS, settings);
+        }
         while let Some(operation) = self
             .store
             .as_mut()
@@ -270,7 +274,7 @@
                 }
             }
         }
-        let is_settings = StorePeers::is_settings_key(&completed.key);
+        let is_settings = completed.key == SETTINGS;
         if let Some(value) = completed.value {
             self.apply_stored_value(&completed.key, value);
         }
--- a/src/net/store_peers.rs
+++ b/src/net/store_peers.rs
@@ -6,7 +6,7 @@
 mod contents;
 
 pub(in crate::net) use connection::PeerConnection;
-pub(in crate::net) use contents::StoredChange;
+pub(in crate::net) use contents::{StoredChange, SETTINGS};
 
 use crate::config::StoreSetup;
 use crate::net::backlog::{ReadProgress, Work};
@@ -142,6 +142,8 @@
     times_out_at: f64,
     /// Values that this mixer has applied, by key.
     applied: BTreeMap<String, String>,
+    /// Settings that a peer has stored at this node and that have not been taken yet.
+    replicated_settings: Option<String>,
     /// Result of the last refresh, so that only changes are logged.
     quorum: Option<Quorum>,
     /// Stack of tasks in progress; the last one continues first.
@@ -167,6 +169,7 @@
         let applied = settings.map(|text| (contents::SETTINGS.to_string(), text.to_string()));
         Ok(StorePeers {
             applied: applied.into_iter().collect(),
+            replicated_settings: None,
             setup,
             listener,
             connections: BTreeMap::new(),
@@ -433,7 +436,7 @@
     /// Answers requests of a peer. Closes the connection if the peer does not read its answers.
     fn serve(&mut self, runtime: &mut Runtime, key: ConnectionKey, requests: &[Message]) {
         for request in requests {
-            let answer = self.setup.registers.serve(request);
+            let answer = self.serve_request(request);
             let Some(Connection::Peer(peer)) = runtime.connections.get_mut(key) else {
                 return;
             };
@@ -447,6 +450,24 @@
         }
     }
 
+    /// Executes a request of a peer on the registers, and keeps settings that are newer than before.
+    fn serve_request(&mut self, request: &Message) -> Option<Message> {
+        let registers = &mut self.setup.registers;
+        let (former_version, _) = registers.get(contents::SETTINGS);
+        let answer = registers.serve(request);
+        let (version, settings) = registers.get(contents::SETTINGS);
+        if version > former_version {
+            self.replicated_settings = settings.map(String::from);
+        }
+        answer
+    }
+
+    /// Takes settings that a peer has stored at this node since the last call. The write may be complete at a majority with the
+    /// answer of this node, so others may follow it from now on. If it is not, the next read of this node completes it.
+    pub(in crate::net) fn take_replicated_settings(&mut self) -> Option<String> {
+        self.replicated_settings.take()
+    }
+
     /// Drops the accepted connection that has been silent for the longest time if no more may be accepted.
     fn evict_if_full(&mut self, runtime: &mut Runtime) {
         if self.accepted.len() < self.max_accepted() {
@@ -526,11 +547,6 @@
         change
     }
 
-    /// Returns whether a key is that of the settings.
-    pub(in crate::net) fn is_settings_key(key: &str) -> bool {
-        key == contents::SETTINGS
-    }
-
     /// Returns whether the store contains settings, which take precedence over the configuration file.
     pub(in crate::net) fn has_settings(&self) -> bool {
         self.applied.contains_key(contents::SETTINGS)
--- a/src/net/store_peers/contents.rs
+++ b/src/net/store_peers/contents.rs
@@ -10,7 +10,7 @@
 /// Key of the names of leaf servers that are draining.
 pub(super) const DRAINING: &str = "drains";
 /// Key of the settings, which take precedence over those of the configuration file.
-pub(super) const SETTINGS: &str = "settings";
+pub(in crate::net) const SETTINGS: &str = "settings";
 /// The keys that a mixer reads.
 pub(super) const KEYS: [&str; 3] = [ENDPOINT_LIST, DRAINING, SETTINGS];
 
