A process that starts sends no part again that may have run for 1.25 s

Callers saw (by hand): a class becomes retryable instead of fragile, SIGHUP, and 0.1 s later the process is killed and started again: 96 of 96 parts up to 1.15 s after SIGHUP ran more than once, since the new process follows the new file at once and clients do not yet. A process takes the file at its start for one in force since long, and can't know better: nothing outlives it, and the file's time does not tell when SIGHUP came. Ruled out: the file's modification time (the clock may step, and files are put in place by moves that keep it); waiting with 'ok ready'. Change: the time of an unknown age, which a first read of the store has already, begins at each start. A successor that gets its predecessor's schedule has none of it.

--- a/src/requests/settings_schedule.rs
+++ b/src/requests/settings_schedule.rs
@@ -74,15 +74,15 @@
 }
 
 impl SettingsSchedule {
-    /// Creates the schedule of a process that starts. `has_store` says that the store, which has not been read yet, takes precedence
-    /// over its settings.
+    /// Creates the schedule of a process that starts with settings of unknown age. `has_store` says that the store, which has not
+    /// been read yet, takes precedence over them.
     pub fn new(now: f64, settings: DecodedSettings, has_store: bool) -> SettingsSchedule {
         SettingsSchedule {
             latest: settings,
             is_latest_taken: true,
             waiting: VecDeque::new(),
             former: VecDeque::new(),
-            unknown_until: now,
+            unknown_until: now + UNKNOWN_AGE_S,
             is_store_unread: has_store,
         }
     }
