Stored settings of a predecessor come before the file and folder of its successor

Callers would see: a successor that has a store of its own address, and has not read it, went on with its folder's settings, or followed its file at SIGHUP, while its predecessor and others follow the store. Cause: the handed-over settings lost, at the successor, that they come from the store. Change: they count as stored settings until the successor has read its store.

--- a/src/net/settings_routing.rs
+++ b/src/net/settings_routing.rs
@@ -119,22 +119,33 @@
     }
 
     /// Returns the settings that take precedence over the predecessor's, if there are any. `own` are those before the handover.
+    /// Stored settings take precedence over a file, and those of a store that was read over those of a data folder.
     fn own_settings(
         &mut self,
         own: DecodedSettings,
         message: &SettingsMessage,
     ) -> Option<DecodedSettings> {
         let own_file_age_s = self.reload.file_age_s(self.runtime.now);
-        if self.has_stored_settings() {
-            Some(own)
-        } else if message.are_stored && self.store.is_some() {
+        let is_predecessors_newer = message.are_stored && self.is_store_unread();
+        if is_predecessors_newer {
+            let text = self.reload.last_accepted().text.to_string();
+            if let Some(store) = &mut self.store {
+                store.adopt_settings(text);
+            }
             None
+        } else if self.has_stored_settings() {
+            Some(own)
         } else if message.file_age_s < own_file_age_s + FILE_READ_MARGIN_S {
             self.read_file()
         } else {
             Some(own)
         }
     }
+
+    /// Returns whether this process has a store that it has not read.
+    fn is_store_unread(&self) -> bool {
+        self.store.is_some() && self.runtime.deployment.is_store_unread()
+    }
 }
 
 // ---- settings from all sources
--- a/src/net/store_peers.rs
+++ b/src/net/store_peers.rs
@@ -547,6 +547,11 @@
         change
     }
 
+    /// Records settings that a predecessor has read from the store and that this mixer follows.
+    pub(in crate::net) fn adopt_settings(&mut self, settings: String) {
+        self.applied.insert(contents::SETTINGS.into(), settings);
+    }
+
     /// Returns whether the store contains settings, which take precedence over the configuration file.
     pub(in crate::net) fn has_settings(&self) -> bool {
         self.applied.contains_key(contents::SETTINGS)
