--- a/src/config/settings/transition.rs
+++ b/src/config/settings/transition.rs
@@ -24,7 +24,7 @@
 
 impl Deployment {
     /// Returns these settings, which most clients do not follow yet, with their rules restricted to what `former` allows as well.
-    /// A request does not tell which settings its client follows.
+    /// A request does not contain which settings its client follows.
     pub fn restricted_by_former(self, former: &Deployment) -> Deployment {
         self.restricted_by(former, |own, former| EffectChange {
             expected: former,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,7 +19,6 @@
 mod reload;
 pub mod replica;
 mod runtime;
-mod settings_routing;
 mod socket;
 mod stall_detector;
 mod startup;
--- a/src/requests/settings_schedule.rs
+++ b/src/requests/settings_schedule.rs
@@ -23,7 +23,7 @@
 /// Maximum number of settings that wait to be applied. Further ones replace the latest of them.
 const MAX_WAITING: usize = 16;
 
-/// The way in which settings reached a running process, which tells when clients begin to follow them.
+/// The way in which settings reached a running process, which determines when clients begin to follow them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
     /// The configuration file at SIGHUP: all clients follow the former settings for the next second.
--- a/src/requests/settings_schedule/handover.rs
+++ b/src/requests/settings_schedule/handover.rs
@@ -22,7 +22,7 @@
 /// Settings that wait to be applied.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WaitingHandover {
-    /// The settings.
+    /// JSON text of the settings.
     pub settings: String,
     /// Time after which clients may follow the settings (seconds).
     pub followed_in_s: f64,
@@ -33,7 +33,7 @@
 /// Former settings that clients may still follow.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FormerHandover {
-    /// The settings.
+    /// JSON text of the settings.
     pub settings: String,
     /// Time for which clients may still follow the settings (seconds).
     pub followed_for_s: f64,
--- a/src/requests/settings_schedule/tests.rs
+++ b/src/requests/settings_schedule/tests.rs
@@ -256,7 +256,7 @@
     assert_eq!(fixture.current, new.deployment);
 }
 
-/// What only makes the process do less may be used while the store is unread: classes, deadlines, the number of attempts.
+/// Settings that only make the process do less are used while the store is unread: classes, deadlines, the number of attempts.
 #[test]
 fn settings_without_repeats_keep_their_classes_and_their_number_of_attempts() {
     let settings = settings_with_limits(2.0, 4, true, 0.5);
